--- /dev/null
+++ b/cmake/HeatherdriftModule.cmake
@@ -0,0 +1,24 @@
+# heatherdrift_module(NAME [DEPENDS targets...])
+# Adds the static library heatherdrift_NAME from the sources in internal/.
+function(heatherdrift_module name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/internal/*.cpp)
+  add_library(heatherdrift_${name} STATIC ${sources})
+  target_include_directories(heatherdrift_${name} PUBLIC
+    $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/src>
+    $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}/heatherdrift>)
+  target_link_libraries(heatherdrift_${name} PUBLIC ${ARG_DEPENDS} PRIVATE $<BUILD_INTERFACE:heatherdrift_options>)
+endfunction()
+
+# heatherdrift_test(NAME [DEPENDS targets...])
+# Adds the GoogleTest program heatherdrift_NAME_test from the sources in tests/.
+function(heatherdrift_test name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
+  add_executable(heatherdrift_${name}_test ${sources})
+  target_link_libraries(heatherdrift_${name}_test PRIVATE heatherdrift_${name} ${ARG_DEPENDS}
+    GTest::gmock GTest::gtest_main rapidcheck rapidcheck_gtest heatherdrift_options)
+  # A fixed seed makes every run of the properties the same; RapidCheck prints it with a failure.
+  gtest_discover_tests(heatherdrift_${name}_test TEST_PREFIX "${name}." DISCOVERY_TIMEOUT 60
+    PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 900)
+endfunction()
--- /dev/null
+++ b/src/base/tests/json_reader_test.cpp
@@ -0,0 +1,65 @@
+#include "base/json_reader.h"
+
+#include <gtest/gtest.h>
+
+namespace heatherdrift {
+namespace {
+
+    struct sample {
+        std::string name;
+        int count = 1;
+        endpoint address;
+    };
+
+    result<sample> parseSample(std::string_view text)
+    {
+        BOOST_OUTCOME_TRY(document, parseJson(text, error_code::invalid_settings));
+        json_reader reader(document, "", error_code::invalid_settings);
+        sample value;
+        reader.readString("name", value.name);
+        reader.readInteger("count", value.count, { 1, 10 }, json_reader::presence::optional);
+        reader.readEndpoint("address", value.address);
+        BOOST_OUTCOME_TRY(reader.finish());
+        return value;
+    }
+
+    struct bad_document {
+        const char* text;
+        const char* message;
+    };
+
+    // Guards against a settings error that is accepted silently or does not name its field.
+    TEST(JsonReader, NamesTheFieldOfEachError)
+    {
+        const bad_document cases[] = {
+            { R"({"name":"a","address":"127.0.0.1:1","extra":1})", "extra: unknown field" },
+            { R"({"address":"127.0.0.1:1"})", "name: missing" },
+            { R"({"name":1,"address":"127.0.0.1:1"})", "name: expected a string" },
+            { R"({"name":"a","count":11,"address":"127.0.0.1:1"})", "count: expected an integer from 1 to 10" },
+            { R"({"name":"a","count":18446744073709551615,"address":"127.0.0.1:1"})",
+                "count: expected an integer from 1 to 10" },
+            { R"({"name":"a","count":1.5,"address":"127.0.0.1:1"})", "count: expected an integer" },
+            { R"({"name":"a","address":"localhost:1"})",
+                "address: expected an IP address and port such as 127.0.0.1:8080" },
+            { R"({"name":"a","address":"127.0.0.1:0"})",
+                "address: expected an IP address and port such as 127.0.0.1:8080" },
+            { R"([])", "document: expected an object" },
+            { R"({"name":)", "not valid JSON at byte 9" },
+        };
+        for (const auto& entry : cases) {
+            const auto outcome = parseSample(entry.text);
+            ASSERT_TRUE(outcome.has_error()) << entry.text;
+            EXPECT_EQ(outcome.error().message, entry.message);
+        }
+    }
+
+    TEST(JsonReader, LeavesAbsentOptionalFieldsAsTheyAre)
+    {
+        const auto outcome = parseSample(R"({"name":"a","address":"[::1]:80"})");
+        ASSERT_TRUE(outcome.has_value());
+        EXPECT_EQ(outcome.value().count, 1);
+        EXPECT_EQ(outcome.value().address, (endpoint { "::1", 80 }));
+    }
+
+} // namespace
+} // namespace heatherdrift
--- /dev/null
+++ b/src/telemetry/internal/log_event.cpp
@@ -0,0 +1,165 @@
+#include "telemetry/log_event.h"
+
+#include "base/clock.h"
+
+#include <log4cplus/configurator.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <map>
+#include <mutex>
+
+namespace heatherdrift {
+
+namespace {
+
+    constexpr log_event_definition catalogue[] = {
+        { log_event::node_started, "node_started", log_level::info, "The process listens on all its addresses." },
+        { log_event::node_stopping, "node_stopping", log_level::info, "A stop was asked for; the drain begins." },
+        { log_event::node_stopped, "node_stopped", log_level::info, "The process ends with nothing in progress." },
+        { log_event::settings_rejected, "settings_rejected", log_level::error,
+            "The settings file has an error; nothing was started." },
+        { log_event::member_registered, "member_registered", log_level::info,
+            "The instance wrote its membership row." },
+        { log_event::member_left, "member_left", log_level::info, "The instance marked its membership row as left." },
+        { log_event::lease_acquired, "lease_acquired", log_level::info, "A majority of witnesses granted the lease." },
+        { log_event::lease_lost, "lease_lost", log_level::warning,
+            "The lease ended; owned keys are refused until it is renewed." },
+        { log_event::witness_set_changed, "witness_set_changed", log_level::info,
+            "The instance changed its witnesses." },
+        { log_event::takeover_started, "takeover_started", log_level::warning,
+            "This instance began to take over the partitions of another." },
+        { log_event::takeover_finished, "takeover_finished", log_level::info,
+            "All partitions of the lost instance have new owners." },
+        { log_event::takeover_blocked, "takeover_blocked", log_level::error,
+            "No majority of witnesses can answer; an operator must declare the instance lost." },
+        { log_event::partitions_assigned, "partitions_assigned", log_level::info,
+            "Partitions without an owner were assigned." },
+        { log_event::partition_moved, "partition_moved", log_level::info,
+            "A planned move of a partition took effect." },
+        { log_event::hot_key_isolated, "hot_key_isolated", log_level::info, "A hot key got a partition of its own." },
+        { log_event::drain_started, "drain_started", log_level::info,
+            "The instance takes no new partitions and hands over its own." },
+        { log_event::drain_finished, "drain_finished", log_level::info,
+            "The instance owns no partition and has no request in progress." },
+        { log_event::configuration_applied, "configuration_applied", log_level::info,
+            "A newer configuration is in force on this node." },
+        { log_event::configuration_rejected, "configuration_rejected", log_level::error,
+            "A stored configuration could not be parsed." },
+        { log_event::store_unavailable, "store_unavailable", log_level::warning,
+            "The table service does not answer; changes wait." },
+        { log_event::store_available, "store_available", log_level::info, "The table service answers again." },
+        { log_event::store_write_resolved, "store_write_resolved", log_level::info,
+            "A write with a lost answer was read back." },
+        { log_event::peer_message_rejected, "peer_message_rejected", log_level::warning,
+            "A control message could not be decoded; its connection was closed." },
+        { log_event::backend_announced, "backend_announced", log_level::info,
+            "The backend server beside this process announced itself." },
+        { log_event::backend_lost, "backend_lost", log_level::warning,
+            "The backend server does not answer; its partitions are handed over." },
+        { log_event::backend_recovered, "backend_recovered", log_level::info, "The backend server answers again." },
+        { log_event::request_quarantined, "request_quarantined", log_level::warning,
+            "A request that crashed backend servers is refused from now on." },
+        { log_event::foreign_answer_dropped, "foreign_answer_dropped", log_level::warning,
+            "An answer did not belong to its request and was dropped." },
+    };
+
+    const log_event_definition& definitionOf(log_event event)
+    {
+        for (const auto& definition : catalogue) {
+            if (definition.event == event)
+                return definition;
+        }
+        return catalogue[0];
+    }
+
+    log4cplus::LogLevel toLibraryLevel(log_level level)
+    {
+        switch (level) {
+        case log_level::info:
+            return log4cplus::INFO_LOG_LEVEL;
+        case log_level::warning:
+            return log4cplus::WARN_LOG_LEVEL;
+        case log_level::error:
+            return log4cplus::ERROR_LOG_LEVEL;
+        }
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+
+    struct event_window {
+        time_point end;
+        int lines = 0;
+        int leftOut = 0;
+    };
+
+    /// Bounds the lines per event, so that a fault that repeats quickly cannot flood the log.
+    class rate_limiter {
+    public:
+        /// Lines left out since the last one if this one may be written, otherwise -1.
+        int admit(log_event event, time_point now)
+        {
+            std::lock_guard lock(m_mutex);
+            auto& window = m_windows[event];
+            if (now >= window.end)
+                window = { now + std::chrono::seconds(logWindowSeconds), 0, window.leftOut };
+            if (window.lines >= logBurst) {
+                ++window.leftOut;
+                return -1;
+            }
+            ++window.lines;
+            return std::exchange(window.leftOut, 0);
+        }
+
+    private:
+        std::mutex m_mutex;
+        std::map<log_event, event_window> m_windows;
+    };
+
+    std::string formatLine(const log_event_definition& definition, std::initializer_list<log_field> fields, int leftOut)
+    {
+        std::string line
+            = "E" + std::to_string(static_cast<int>(definition.event)) + " " + std::string(definition.name);
+        for (const auto& field : fields)
+            line.append(" ").append(field.name).append("=").append(field.value);
+        if (leftOut > 0)
+            line += " left_out=" + std::to_string(leftOut);
+        return line;
+    }
+
+} // namespace
+
+std::span<const log_event_definition> logEventCatalogue() { return catalogue; }
+
+void startLogging(log_level least)
+{
+    static log4cplus::Initializer initializer;
+    // The library's thread pool serves asynchronous appenders only, which are not used here.
+    log4cplus::setThreadPoolSize(1);
+    log4cplus::helpers::Properties properties;
+    properties.setProperty(LOG4CPLUS_TEXT("log4cplus.rootLogger"), LOG4CPLUS_TEXT("INFO, STDERR"));
+    properties.setProperty(LOG4CPLUS_TEXT("log4cplus.appender.STDERR"), LOG4CPLUS_TEXT("log4cplus::ConsoleAppender"));
+    properties.setProperty(LOG4CPLUS_TEXT("log4cplus.appender.STDERR.logToStdErr"), LOG4CPLUS_TEXT("true"));
+    properties.setProperty(LOG4CPLUS_TEXT("log4cplus.appender.STDERR.ImmediateFlush"), LOG4CPLUS_TEXT("true"));
+    properties.setProperty(
+        LOG4CPLUS_TEXT("log4cplus.appender.STDERR.layout"), LOG4CPLUS_TEXT("log4cplus::PatternLayout"));
+    properties.setProperty(LOG4CPLUS_TEXT("log4cplus.appender.STDERR.layout.ConversionPattern"),
+        LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q}Z %p %m%n"));
+    log4cplus::PropertyConfigurator(properties).configure();
+    log4cplus::Logger::getRoot().setLogLevel(toLibraryLevel(least));
+}
+
+void logEvent(log_event event, std::initializer_list<log_field> fields)
+{
+    static rate_limiter limiter;
+    const auto& definition = definitionOf(event);
+    const auto level = toLibraryLevel(definition.level);
+    auto logger = log4cplus::Logger::getRoot();
+    if (!logger.isEnabledFor(level))
+        return;
+    const int leftOut = limiter.admit(event, boot_clock::now());
+    if (leftOut < 0)
+        return;
+    logger.log(level, formatLine(definition, fields, leftOut));
+}
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/telemetry/log_event.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace heatherdrift {
+
+/// Numbers of the log events. A number is never reused; docs/events.md lists them.
+enum class log_event : int {
+    node_started = 1001,
+    node_stopping = 1002,
+    node_stopped = 1003,
+    settings_rejected = 1004,
+    member_registered = 1101,
+    member_left = 1102,
+    lease_acquired = 1201,
+    lease_lost = 1202,
+    witness_set_changed = 1203,
+    takeover_started = 1301,
+    takeover_finished = 1302,
+    takeover_blocked = 1303,
+    partitions_assigned = 1401,
+    partition_moved = 1402,
+    hot_key_isolated = 1403,
+    drain_started = 1404,
+    drain_finished = 1405,
+    configuration_applied = 1501,
+    configuration_rejected = 1502,
+    store_unavailable = 1601,
+    store_available = 1602,
+    store_write_resolved = 1603,
+    peer_message_rejected = 1701,
+    backend_announced = 1801,
+    backend_lost = 1802,
+    backend_recovered = 1803,
+    request_quarantined = 1901,
+    foreign_answer_dropped = 1902,
+};
+
+enum class log_level { info, warning, error };
+
+struct log_event_definition {
+    log_event event;
+    std::string_view name;
+    log_level level;
+    std::string_view meaning;
+};
+
+/// All events, in the order of their numbers.
+std::span<const log_event_definition> logEventCatalogue();
+
+struct log_field {
+    std::string_view name;
+    std::string value;
+};
+
+/// Sends log lines to standard error. Call once per process.
+void startLogging(log_level least);
+
+/// Writes one line. At most logBurst lines of one event go out in logWindow; the next line after that tells how many
+/// were left out. May be called from any thread.
+void logEvent(log_event, std::initializer_list<log_field> = {});
+
+constexpr int logBurst = 10;
+constexpr int logWindowSeconds = 10;
+
+} // namespace heatherdrift
