--- /dev/null
+++ b/src/http/http_client.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/failure.h"
+#include "base/identifiers.h"
+#include "http/http_message.h"
+
+#include <event2/event.h>
+#include <functional>
+#include <memory>
+
+namespace heatherdrift {
+
+/// Receives the parts of one answer, on the event loop's thread, never before http_client::start() returns.
+struct http_call_handlers {
+    std::function<void(const http_response_head&)> onHead;
+    std::function<void(std::string_view)> onData;
+    /// Called exactly once unless the call is cancelled. Success: the answer is whole. Failure: `not_run` if no byte of
+    /// the request was written to the connection (connection_failed, deadline_exceeded, overloaded: no connection
+    /// free), otherwise `may_have_run` (connection_lost, deadline_exceeded).
+    std::function<void(result<void>)> onDone;
+};
+
+/// One request on its way. Destroying it does not cancel it.
+class http_call {
+public:
+    virtual ~http_call() = default;
+
+    /// Closes the call's connection; no handler is called afterwards.
+    virtual void cancel() = 0;
+    /// Stops reading the answer, so that the server is slowed down by TCP; a few kilobytes may still arrive.
+    virtual void pause() = 0;
+    virtual void resume() = 0;
+    /// Whether any byte of the request was written to the connection.
+    virtual bool hasWritten() const = 0;
+};
+
+using http_call_ptr = std::shared_ptr<http_call>;
+
+/// Connections to one server; each carries one request at a time and is kept for the next. A request is written to one
+/// connection at most once. Must not be destroyed from within onHead or onData.
+class http_client {
+public:
+    virtual ~http_client() = default;
+
+    static std::unique_ptr<http_client> create(event_base*, const endpoint&, int maximumConnections);
+
+    /// Sends a request on an idle or new connection.
+    virtual http_call_ptr start(http_request, time_point deadline, http_call_handlers) = 0;
+
+    virtual int connectionCount() const = 0;
+    virtual int idleCount() const = 0;
+    virtual const endpoint& server() const = 0;
+};
+
+/// Sends a request and collects the whole answer. A body above the limit fails with `too_large`, may_have_run.
+http_call_ptr fetch(
+    http_client&, http_request, time_point deadline, std::size_t bodyLimit, std::function<void(result<http_response>)>);
+
+} // namespace heatherdrift
