--- /dev/null
+++ b/src/messages/control.thrift
@@ -0,0 +1,146 @@
+// Messages between nodes on the control port. Frames: see frame_codec.h.
+// After a change run scripts/generate-messages and commit its output.
+
+namespace cpp heatherdrift.wire
+
+struct InstanceRef {
+  1: string id
+  2: i64 incarnation
+}
+
+// Summary of a node's replica of the stored rows; equal digests mean equal replicas.
+struct Digest {
+  1: i64 configurationVersion
+  2: i64 pages
+  3: i64 members
+}
+
+// First message on each connection, in both directions.
+struct Hello {
+  1: InstanceRef sender
+  2: i32 protocolVersion
+}
+
+struct Renewal {
+  1: InstanceRef holder
+  2: InstanceRef witness
+  3: i64 sequence
+  4: Digest digest
+}
+
+struct Grant {
+  1: InstanceRef holder
+  2: InstanceRef witness
+  3: i64 sequence
+  4: Digest digest
+}
+
+enum RefusalReason {
+  PROMISED = 1
+  WITNESS_RESTARTED = 2
+  HOLDER_SUPERSEDED = 3
+  CONFIGURATION_STALE = 4
+}
+
+struct Refusal {
+  1: InstanceRef holder
+  2: InstanceRef witness
+  3: i64 sequence
+  4: RefusalReason reason
+  5: Digest digest
+}
+
+struct PromiseRequest {
+  1: InstanceRef holder
+  2: InstanceRef witness
+  3: InstanceRef fencer
+}
+
+struct Promise {
+  1: InstanceRef holder
+  2: InstanceRef witness
+  // Time until the witness's last grant has ended, in microseconds; 0 if there is none.
+  3: i64 remainingMicroseconds
+}
+
+struct RowVersion {
+  1: string table
+  2: string key
+  3: i64 version
+}
+
+struct Row {
+  1: string table
+  2: string key
+  3: i64 version
+  4: binary value
+}
+
+// Rows that the sender has; the receiver pulls the newer ones.
+struct Offer {
+  1: list<RowVersion> rows
+}
+
+// Hashes of the sender's rows of one table, by bucket of the key's hash. The receiver offers the rows of the buckets
+// that differ.
+struct Compare {
+  1: string table
+  2: list<i64> bucketHashes
+}
+
+struct Pull {
+  1: list<RowVersion> rows
+}
+
+struct Update {
+  1: list<Row> rows
+}
+
+// A request fingerprint that was in flight when a backend server crashed.
+struct Strike {
+  1: i64 fingerprint
+  2: string strikeId
+  3: i32 weight
+}
+
+struct Strikes {
+  1: list<Strike> strikes
+}
+
+// Asks the owner of a partition to hand it over.
+struct MoveRequest {
+  1: string pool
+  2: i32 partition
+  3: InstanceRef target
+}
+
+// Load of the sender's partitions, for the coordinator of their pages.
+struct PartitionLoad {
+  1: i32 partition
+  2: double requestsPerSecond
+}
+
+
+struct LoadReport {
+  1: InstanceRef sender
+  2: string pool
+  3: double busySlots
+  4: list<PartitionLoad> busiest
+  5: double requestsPerSecond
+}
+
+union Message {
+  1: Hello hello
+  2: Renewal renewal
+  3: Grant grant
+  4: Refusal refusal
+  5: PromiseRequest promiseRequest
+  6: Promise promise
+  7: Offer offer
+  8: Compare compare
+  9: Pull pull
+  10: Update update
+  11: Strikes strikes
+  12: MoveRequest moveRequest
+  13: LoadReport loadReport
+}
