Add the sources of routing, control and node

Cause: the request path and the control task are needed before their parts can be tried together. Change: routing (entry, forwarding, execution at the owner, once and request ledgers), control (membership, lease, takeover, moves, assignment, replication over the peer links), node (composition, administration API), scripts/mesh.py.

--- /dev/null
+++ b/scripts/mesh.py
@@ -0,0 +1,196 @@
+"""Starts a small mesh of plain processes on loopback: stand-ins, backend servers and nodes.
+
+Used by scripts/demo, scripts/bench and the fault checks. Every process that is started here is ended here, by its id.
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+
+class Shape:
+    """Pools and availability zones of a deployment. pools: name -> (backend servers, labels, slots)."""
+
+    def __init__(self, name, zones, pools, configuration):
+        self.name = name
+        self.zones = zones
+        self.pools = pools
+        self.configuration = configuration
+
+
+SHAPES = {
+    "indus": Shape("indus", 3, {"records": (6, 12), "findings": (5, 12), "media": (3, 12)},
+                   "examples/indus/configuration.json"),
+    "gelo-seco": Shape("gelo-seco", 4, {"stock": (4, 17), "orders": (4, 17), "documents": (4, 17)},
+                       "examples/gelo-seco/configuration.json"),
+}
+
+
+def free_ports(count):
+    """Ports that were free a moment ago; all are held until the last is known, so they differ."""
+    sockets = []
+    for _ in range(count):
+        held = socket.socket()
+        held.bind(("127.0.0.1", 0))
+        sockets.append(held)
+    ports = [held.getsockname()[1] for held in sockets]
+    for held in sockets:
+        held.close()
+    return ports
+
+
+def call(address, method, target, body=None, headers=None, timeout=10):
+    """One HTTP request; returns (status, headers, body bytes)."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        data = json.dumps(body) if isinstance(body, (dict, list)) else body
+        connection.request(method, target, data, headers or {})
+        answer = connection.getresponse()
+        return answer.status, {name.lower(): value for name, value in answer.getheaders()}, answer.read()
+    finally:
+        connection.close()
+
+
+class Instance:
+    """One instance: a backend server and the node beside it."""
+
+    def __init__(self, mesh, name, zone, pool, slots, region="region-1"):
+        self.mesh, self.name, self.zone, self.pool, self.slots, self.region = mesh, name, zone, pool, slots, region
+        ports = free_ports(6)
+        self.entry, self.forward, self.control, self.admin, self.backend, self.backend_control = (
+            f"127.0.0.1:{port}" for port in ports)
+        self.node_process = None
+        self.backend_process = None
+
+    def settings(self):
+        return {
+            "instance_id": self.name, "availability_zone": self.zone, "region": self.region,
+            "listeners": {"entry": self.entry, "forward": self.forward, "control": self.control, "admin": self.admin},
+            "table_service": [self.mesh.table],
+            **self.mesh.node_settings,
+        }
+
+    def start_backend(self, *flags):
+        self.backend_process = self.mesh.run(
+            f"{self.name}.backend", "src/standin/heatherdrift-standin", "backend", f"--listen={self.backend}",
+            f"--control={self.backend_control}", f"--announce_to={self.admin}",
+            f"--labels=pool={self.pool}", f"--slots={self.slots}", "--checks_grants=true", *flags)
+
+    def start_node(self):
+        path = os.path.join(self.mesh.directory, f"{self.name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(self.settings(), file)
+        self.node_process = self.mesh.run(f"{self.name}.node", "src/node/heatherdriftd", f"--settings={path}")
+
+    def status(self):
+        return json.loads(call(self.admin, "GET", "/v1/status")[2])
+
+    def kill(self):
+        """Ends the node and the backend server at once, as the loss of the machine would."""
+        for process in (self.node_process, self.backend_process):
+            if process and process.poll() is None:
+                process.kill()
+                process.wait()
+
+
+class Mesh:
+    def __init__(self, shape, build="build", backend_flags=(), node_settings=None, table_flags=()):
+        self.shape = SHAPES[shape] if isinstance(shape, str) else shape
+        self.build = os.path.join(ROOT, build)
+        self.directory = tempfile.mkdtemp(prefix="heatherdrift-")
+        self.processes = []
+        self.backend_flags = backend_flags
+        self.node_settings = node_settings or {}
+        self.table_flags = table_flags
+        ports = free_ports(2)
+        self.table, self.table_control = (f"127.0.0.1:{port}" for port in ports)
+        self.instances = []
+        index = 0
+        for pool, (count, slots) in self.shape.pools.items():
+            for number in range(1, count + 1):
+                zone = f"zone-{index % self.shape.zones + 1}"
+                self.instances.append(Instance(self, f"{pool}-{number}", zone, pool, slots))
+                index += 1
+
+    def run(self, log, program, *arguments):
+        with open(os.path.join(self.directory, f"{log}.log"), "ab") as output:
+            process = subprocess.Popen([os.path.join(self.build, program), *arguments], stdout=output, stderr=output)
+        self.processes.append(process)
+        return process
+
+    def start_table(self):
+        return self.run("table", "src/standin/heatherdrift-standin", "table-store", f"--listen={self.table}",
+                        f"--control={self.table_control}", *self.table_flags)
+
+    def start(self):
+        self.start_table()
+        for instance in self.instances:
+            instance.start_node()
+            instance.start_backend(*self.backend_flags)
+
+    def apply(self, path=None, node=None, timeout=30):
+        """Applies the shape's configuration and waits until it is in force everywhere."""
+        with open(os.path.join(ROOT, path or self.shape.configuration), encoding="utf-8") as file:
+            document = json.load(file)
+        node = node or self.instances[0]
+        self.wait(lambda: node.status()["is_registered"], timeout)
+        version = json.loads(call(node.admin, "GET", "/v1/configuration")[2])["version"]
+        status, _, body = call(node.admin, "PUT", "/v1/configuration",
+                               {"base_version": version, "configuration": document})
+        if status != 200:
+            raise RuntimeError(f"configuration was refused: {body.decode()}")
+        return json.loads(body)["version"]
+
+    def partitions(self, pool, node=None):
+        status, _, body = call((node or self.instances[0]).admin, "GET", f"/v1/partitions?pool={pool}")
+        return json.loads(body)["partitions"] if status == 200 else []
+
+    def wait_ready(self, timeout=60):
+        """Until every partition of every pool has an owner in the view of every node."""
+        def ready():
+            for instance in self.instances:
+                if instance.node_process is None or instance.node_process.poll() is not None:
+                    continue
+                if not instance.status()["has_lease"]:
+                    return False
+                for pool in self.shape.pools:
+                    partitions = self.partitions(pool, instance)
+                    if not partitions or any(not entry["owner"] for entry in partitions):
+                        return False
+            return True
+        self.wait(ready, timeout)
+
+    @staticmethod
+    def wait(condition, timeout, interval=0.05):
+        end = time.monotonic() + timeout
+        while True:
+            try:
+                if condition():
+                    return
+            except (OSError, ValueError, http.client.HTTPException):
+                pass
+            if time.monotonic() >= end:
+                raise TimeoutError("the expected state was not reached")
+            time.sleep(interval)
+
+    def stop(self):
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
--- /dev/null
+++ b/src/control/internal/assignment_driver.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "assignment/balancer.h"
+#include "assignment/coordinator.h"
+#include "assignment/heavy_hitters.h"
+#include "assignment/hot_key_policy.h"
+#include "assignment/placement.h"
+#include "assignment/slow_start.h"
+#include "control/internal/control_context.h"
+#include "control/internal/move_driver.h"
+#include "control/internal/page_writer.h"
+#include "control/internal/takeover_driver.h"
+#include "routing/task_messages.h"
+
+#include <map>
+#include <string>
+
+namespace heatherdrift {
+
+/// Decides on assignments: repairs the pages that this node coordinates or takes over, balances the pools that it
+/// coordinates, and hands over its own partitions when it drains, leaves a pool or is asked to.
+class assignment_driver {
+public:
+    assignment_driver(control_context&, page_writer&, takeover_driver&, move_driver&, instance_ref self);
+
+    void tick(time_point now);
+    /// True if the message was one of this class.
+    bool onMessage(const instance_ref& sender, const wire::Message&);
+    void onLoad(const load_sample&, time_point now);
+    /// Whether everything is to be handed over.
+    void setDraining(bool isDraining) { m_isDraining = isDraining; }
+    bool ownsNothing() const;
+
+private:
+    struct pool_work {
+        balancer balancing;
+        hot_key_policy hotKeys;
+        std::map<std::string, double> keys; ///< Of the last sample.
+        double meanLoad = 0; ///< Of an instance of the pool, as its coordinator says.
+    };
+
+    ramp_function rampAt(time_point now) const;
+    void repair(const pool_configuration&, time_point now);
+    bool isMine(const std::string& pool, std::uint32_t page, const std::vector<pool_member>&) const;
+    bool hasLostOwner(const versioned_page&) const;
+    void write(const pool_configuration&, const placement_step&);
+    void balance(const pool_configuration&, time_point now);
+    void handOverForeign(const pool_configuration&, time_point now);
+    void handleHotKeys(const pool_configuration&, time_point now);
+    void perform(const pool_configuration&, const hot_key_action&, time_point now);
+    void reportLoad(time_point now);
+    void acceptReport(const load_report&, const std::string& pool, time_point now);
+    void ask(const std::string& pool, const proposed_move&, time_point now);
+    void moveOne(const std::string& pool, partition_index, const instance_id& target, time_point now);
+    const pool_configuration* ownPool() const;
+
+    control_context& m_context;
+    page_writer& m_pages;
+    takeover_driver& m_takeovers;
+    move_driver& m_moves;
+    instance_ref m_self;
+    slow_start m_slowStart;
+    std::map<std::string, repair_schedule> m_schedules;
+    std::map<std::string, pool_work> m_pools;
+    load_sample m_load;
+    std::uint64_t m_seenRevision = 0;
+    time_point m_nextRepair;
+    time_point m_nextSlow;
+    time_point m_nextReport;
+    bool m_isDraining = false;
+};
+
+} // namespace heatherdrift
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -7,7 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
-#include <list>
+#include <sys/socket.h>
 #include <vector>
 
 namespace heatherdrift {
@@ -24,6 +24,15 @@
 
     using connection_handle = std::unique_ptr<evhttp_connection, connection_deleter>;
 
+    /// Closes with a reset. Otherwise the kernel may deliver the rest of an abandoned request long after its caller was
+    /// told
+    /// how the request ended.
+    void discardUnsent(int descriptor)
+    {
+        const linger option { 1, 0 };
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+    }
+
     /// Whether the end of the body can be told from a lost connection (RFC 9112, section 6.3).
     bool hasFramedBody(evhttp_request* native, std::string_view method)
     {
@@ -238,6 +247,7 @@
                 return;
             }
             --m_connectionCount;
+            discardUnsent(bufferevent_getfd(evhttp_connection_get_bufferevent(connection.get())));
             m_disposed.push_back(std::move(connection));
             m_dispose.startOnce({});
         }
--- a/src/messages/control.thrift
+++ b/src/messages/control.thrift
@@ -36,10 +36,10 @@
 }
 
 enum RefusalReason {
-  PROMISED = 1
-  WITNESS_RESTARTED = 2
-  HOLDER_SUPERSEDED = 3
-  CONFIGURATION_STALE = 4
+  FENCED = 1
+  SUPERSEDED = 2
+  WRONG_WITNESS = 3
+  STALE_CONFIGURATION = 4
 }
 
 struct Refusal {
@@ -53,7 +53,24 @@
 struct PromiseRequest {
   1: InstanceRef holder
   2: InstanceRef witness
-  3: InstanceRef fencer
+}
+
+// The request was meant for another incarnation; `witness` is the process that answers.
+struct PromiseRefusal {
+  1: InstanceRef holder
+  2: InstanceRef witness
+}
+
+// Asks a witness how long it has not heard a holder.
+struct SilenceInquiry {
+  1: InstanceRef holder
+  2: InstanceRef witness
+}
+
+struct SilenceReport {
+  1: InstanceRef holder
+  2: InstanceRef witness
+  3: i64 silentMicroseconds
 }
 
 struct Promise {
@@ -114,19 +131,24 @@
   3: InstanceRef target
 }
 
-// Load of the sender's partitions, for the coordinator of their pages.
 struct PartitionLoad {
   1: i32 partition
-  2: double requestsPerSecond
+  2: double busySlots
 }
 
 
+// Load of the sender in one pool, for the pool's coordinator.
 struct LoadReport {
   1: InstanceRef sender
   2: string pool
   3: double busySlots
-  4: list<PartitionLoad> busiest
-  5: double requestsPerSecond
+  4: list<PartitionLoad> hottest
+}
+
+// Answer to a load report: mean load of an instance of the pool.
+struct PoolLoad {
+  1: string pool
+  2: double meanBusySlots
 }
 
 union Message {
@@ -143,4 +165,10 @@
   11: Strikes strikes
   12: MoveRequest moveRequest
   13: LoadReport loadReport
+  14: PromiseRefusal promiseRefusal
+  15: SilenceInquiry silenceInquiry
+  16: SilenceReport silenceReport
+  // For neighbours that get no renewals.
+  17: Digest digest
+  18: PoolLoad poolLoad
 }
--- a/src/messages/internal/frame_codec.cpp
+++ b/src/messages/internal/frame_codec.cpp
@@ -26,7 +26,8 @@
     {
         const auto& set = message.__isset;
         return set.hello + set.renewal + set.grant + set.refusal + set.promiseRequest + set.promise + set.offer
-            + set.compare + set.pull + set.update + set.strikes + set.moveRequest + set.loadReport;
+            + set.compare + set.pull + set.update + set.strikes + set.moveRequest + set.loadReport + set.promiseRefusal
+            + set.silenceInquiry + set.silenceReport + set.digest + set.poolLoad;
     }
 
     result<wire::Message> decodeBody(std::uint8_t* data, std::uint32_t size)
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/failure.h"
+#include "settings/node_settings.h"
+
+#include <memory>
+
+namespace heatherdrift {
+
+/// A running heatherdriftd: the control task on the calling thread, the request task on its own.
+class node {
+public:
+    virtual ~node() = default;
+
+    /// Binds all listeners. Fails with invalid_settings; nothing is started then.
+    static result<std::unique_ptr<node>> create(const node_settings&);
+
+    /// Runs until the node has left: SIGTERM or SIGINT starts a drain, a second one ends the process at once.
+    virtual void run() = 0;
+};
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/routing/call_runner.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "http/http_client.h"
+#include "routing/call.h"
+
+namespace heatherdrift {
+
+/// Runs a call at the node of its target: the executor of this process, or another node.
+///
+/// The handlers get either a head whose heatherdrift-verdict header tells how the call ended, or a failure.
+class call_runner {
+public:
+    virtual ~call_runner() = default;
+
+    virtual http_call_ptr run(call, call_target, http_call_handlers) = 0;
+};
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/routing/forward_service.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "http/http_server.h"
+#include "routing/call_executor.h"
+#include "telemetry/trace.h"
+
+namespace heatherdrift {
+
+/// What other nodes ask of this one: `POST /v1/outcomes/ID`, `POST /v1/claims`, and every other request with the
+/// heatherdrift-target header, which is run by the executor.
+class forward_service {
+public:
+    forward_service(instance_ref self, std::size_t streamBufferBytes, clock_function, call_executor&, span_sink);
+
+    /// Handler of the forward listener.
+    void handle(http_exchange_ptr);
+    void setSnapshot(routing_snapshot_ptr);
+
+private:
+    void run(http_exchange_ptr);
+    void answerInquiry(http_exchange_ptr);
+    void answerClaim(http_exchange_ptr);
+    bool isForThisProcess(const http_request&) const;
+
+    instance_ref m_self;
+    std::size_t m_streamBufferBytes;
+    clock_function m_now;
+    call_executor& m_executor;
+    span_sink m_spans;
+    routing_snapshot_ptr m_snapshot;
+};
+
+/// The request for the claim of a token, and the answer to it.
+http_request toClaimRequest(
+    const once_token&, std::uint64_t fingerprint, const std::string& claimant, const instance_ref& issuer);
+result<claim_answer> parseClaimAnswer(const http_response&);
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/routing/internal/backend_monitor.cpp
@@ -0,0 +1,59 @@
+#include "routing/internal/backend_monitor.h"
+
+namespace heatherdrift {
+
+namespace {
+
+    constexpr duration checkInterval = std::chrono::milliseconds(250);
+    /// A frozen server accepts connections but does not answer, so the deadline decides how soon it is noticed.
+    constexpr duration checkTimeout = std::chrono::milliseconds(250);
+    constexpr int failuresToLose = 3;
+    constexpr int answersToReturn = 8;
+    constexpr std::size_t bodyLimit = 64 * 1024;
+
+} // namespace
+
+backend_monitor::backend_monitor(
+    event_base* base, const endpoint& address, clock_function now, std::function<void(bool)> onChange)
+    : m_client(http_client::create(base, address, 2))
+    , m_now(std::move(now))
+    , m_onChange(std::move(onChange))
+    , m_timer(base, [this] { check(); })
+{
+    m_timer.startOnce({});
+}
+
+void backend_monitor::checkNow()
+{
+    if (!m_isChecking)
+        m_timer.startOnce({});
+}
+
+void backend_monitor::check()
+{
+    if (m_isChecking)
+        return;
+    m_isChecking = true;
+    fetch(*m_client, { "GET", "/health", {}, "" }, m_now() + checkTimeout, bodyLimit,
+        [this](const result<http_response>& response) {
+            m_isChecking = false;
+            m_timer.startOnce(checkInterval);
+            answered(response.has_value() && response.value().head.status < 500);
+        });
+}
+
+void backend_monitor::answered(bool isAnswer)
+{
+    if (isAnswer == m_isAnswering) {
+        m_run = 0;
+        return;
+    }
+    const int needed = m_isAnswering ? failuresToLose : answersToReturn;
+    if (++m_run < needed)
+        return;
+    m_run = 0;
+    m_isAnswering = isAnswer;
+    m_onChange(isAnswer);
+}
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/routing/internal/backend_monitor.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/event_handle.h"
+#include "base/identifiers.h"
+#include "http/http_client.h"
+
+#include <functional>
+#include <memory>
+
+namespace heatherdrift {
+
+/// Asks the backend server's health endpoint regularly, and at once after a failed call. A server that fails several
+/// times in a row counts as gone, and as back after several answers in a row.
+class backend_monitor {
+public:
+    backend_monitor(event_base*, const endpoint&, clock_function, std::function<void(bool isAnswering)> onChange);
+
+    /// A call failed: the next check must not wait.
+    void checkNow();
+
+private:
+    void check();
+    void answered(bool isAnswer);
+
+    std::unique_ptr<http_client> m_client;
+    clock_function m_now;
+    std::function<void(bool)> m_onChange;
+    timer m_timer;
+    bool m_isChecking = false;
+    bool m_isAnswering = true;
+    int m_run = 0; ///< Outcomes in a row that speak against the present judgement.
+};
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/routing/internal/entry_call.cpp
@@ -0,0 +1,361 @@
+#include "routing/internal/entry_call.h"
+
+#include "base/json_reader.h"
+#include "telemetry/log_event.h"
+
+#include <algorithm>
+
+namespace heatherdrift {
+
+namespace {
+
+    constexpr duration inquiryTimeout = std::chrono::seconds(1);
+    constexpr std::size_t inquiryBodyLimit = 4096;
+    /// Spread of a wake-up after a new snapshot, so that all waiting calls do not start in the same millisecond.
+    constexpr duration wakeSpread = std::chrono::milliseconds(5);
+
+    /// Errors after which another attempt has a chance once the owner or its state has changed.
+    bool dependsOnRoute(error_code code)
+    {
+        switch (code) {
+        case error_code::not_owner:
+        case error_code::no_owner:
+        case error_code::lease_expired:
+        case error_code::draining:
+        case error_code::connection_failed:
+        case error_code::connection_lost:
+        case error_code::refused_by_backend:
+            return true;
+        default:
+            return false;
+        }
+    }
+
+    /// Errors of a member of a pool without ownership after which another member may be asked.
+    bool dependsOnMember(error_code code) { return dependsOnRoute(code) || code == error_code::overloaded; }
+
+    request_state parseState(std::string_view body)
+    {
+        const auto document = json::parse(body, nullptr, false);
+        if (!document.is_object())
+            return request_state::unknown;
+        const auto text = document.value("state", "");
+        for (const auto state : { request_state::refused, request_state::running, request_state::answered }) {
+            if (text == toString(state))
+                return state;
+        }
+        return request_state::unknown;
+    }
+
+} // namespace
+
+entry_call::entry_call(entry_router& router, http_exchange_ptr exchange, std::string requestId)
+    : m_router(&router)
+    , m_exchange(std::move(exchange))
+    , m_requestId(std::move(requestId))
+    , m_relay(std::make_shared<answer_relay>(m_exchange, router.m_limits.streamBufferBytes))
+    , m_retry(router.m_base, [this] { attempt(); })
+    , m_startedAt(router.m_hooks.now())
+{
+}
+
+void entry_call::begin()
+{
+    m_exchange->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->callerLeft();
+    });
+    const auto& snapshot = m_router->m_snapshot;
+    if (!snapshot || !snapshot->configuration)
+        return fail(notRun(error_code::no_selector, "this node has no configuration yet"));
+    auto parsed = parseCall(m_exchange->request(), m_requestId, *snapshot->configuration, m_startedAt);
+    if (parsed.has_error())
+        return fail(parsed.error());
+    m_call = std::move(parsed).value();
+    m_parentSpan = m_exchange->request().headers.find(header::traceparent) ? m_call->trace.spanId : "";
+    m_call->trace = childOf(m_call->trace);
+    m_router->m_hooks.firstAttempt();
+    attempt();
+}
+
+std::optional<instance_ref> entry_call::chooseOwner() const
+{
+    const auto& snapshot = *m_router->m_snapshot;
+    if (m_call->policy.ownership == ownership_need::none)
+        return m_router->m_hooks.choice.pick(snapshot, m_call->pool, m_lastFailed);
+    const auto* pool = snapshot.configuration->findPool(m_call->pool);
+    const auto found = pool ? snapshot.partitions.find(*pool, m_call->key) : std::nullopt;
+    if (!found || !found->owner)
+        return std::nullopt;
+    return *found->owner;
+}
+
+void entry_call::attempt()
+{
+    if (m_isOver)
+        return;
+    m_isWaitingForRoute = false;
+    m_retry.stop();
+    if (m_router->m_hooks.now() >= m_call->deadline)
+        return fail(notRun(error_code::deadline_exceeded, "the deadline passed before the request could be sent"));
+    const auto owner = chooseOwner();
+    if (!owner)
+        return waitForRoute(notRun(error_code::no_owner, "no instance owns the key or serves the pool"));
+    send(*owner);
+}
+
+void entry_call::send(const instance_ref& owner)
+{
+    ++m_attempts;
+    m_target = owner;
+    m_attemptAt = m_router->m_hooks.now();
+    m_headFailure.reset();
+    if (m_call->policy.ownership == ownership_need::none)
+        m_router->m_hooks.choice.started(owner);
+    http_call_handlers handlers;
+    handlers.onHead = [this](const http_response_head& head) { onHead(head); };
+    handlers.onData = [this](std::string_view data) { onData(data); };
+    handlers.onDone = [this](const result<void>& how) { onDone(how); };
+    auto attempted = *m_call;
+    attempted.requestId = attemptId();
+    m_running = owner == m_router->m_self
+        ? m_router->m_executor.run(std::move(attempted), { owner }, std::move(handlers))
+        : forward(attempted, owner, std::move(handlers));
+    if (m_running)
+        m_relay->setSource(m_running);
+    else
+        attemptFailed(notRun(error_code::connection_failed, "the owner's address is not known"));
+}
+
+http_call_ptr entry_call::forward(const call& attempted, const instance_ref& owner, http_call_handlers handlers)
+{
+    auto* client = m_router->m_peers.find(*m_router->m_snapshot, owner);
+    if (!client)
+        return nullptr;
+    return client->start(
+        toForwardedRequest(attempted, { owner }, m_router->m_hooks.now()), attempted.deadline, std::move(handlers));
+}
+
+std::optional<failure> entry_call::readFailure(const http_response_head& head) const
+{
+    const auto stated = parseFailure(head);
+    if (stated)
+        return stated;
+    if (head.headers.find(header::verdict))
+        return std::nullopt;
+    // The listener of a node refuses malformed or oversized requests without a verdict, before any work is begun.
+    return notRun(error_code::bad_request, "the owner's node refused the request");
+}
+
+void entry_call::onHead(const http_response_head& head)
+{
+    const auto keepAlive = shared_from_this();
+    const auto echoed = head.headers.find(header::requestId);
+    if (echoed && *echoed != attemptId()) {
+        logEvent(
+            log_event::foreign_answer_dropped, { { "request", attemptId() }, { "answer_of", std::string(*echoed) } });
+        m_running->cancel();
+        return attemptFailed(mayHaveRun(error_code::connection_lost, "the answer belongs to another request"));
+    }
+    m_headFailure = readFailure(head);
+    if (m_headFailure && m_headFailure->code != error_code::token_required)
+        return;
+    relay(head);
+}
+
+void entry_call::relay(const http_response_head& head)
+{
+    http_response_head passed = head;
+    passed.headers.set(header::requestId, m_requestId);
+    m_answeredError.clear();
+    m_answered = verdict::ran;
+    if (m_headFailure) {
+        m_answered = m_headFailure->outcome;
+        m_answeredError = toString(m_headFailure->code);
+    }
+    m_headFailure.reset();
+    m_relay->start(passed);
+}
+
+void entry_call::onData(std::string_view data)
+{
+    const auto keepAlive = shared_from_this();
+    if (!m_headFailure && !m_isOver)
+        m_relay->sendData(data);
+}
+
+void entry_call::onDone(const result<void>& how)
+{
+    const auto keepAlive = shared_from_this();
+    if (m_isOver)
+        return;
+    if (m_relay->hasStarted()) {
+        noteAttemptEnd(how.has_error());
+        if (how.has_value())
+            m_relay->finish();
+        else
+            m_relay->abort();
+        return finish(m_answered, how.has_value() ? m_answeredError : toString(how.error().code));
+    }
+    if (m_headFailure)
+        return attemptFailed(*m_headFailure);
+    attemptFailed(how.has_error() ? how.error() : mayHaveRun(error_code::internal, "an answer without a head"));
+}
+
+void entry_call::noteAttemptEnd(bool isFailure)
+{
+    m_running = nullptr;
+    m_relay->setSource(nullptr);
+    if (m_call->policy.ownership == ownership_need::none && m_target)
+        m_router->m_hooks.choice.ended(*m_target, m_router->m_hooks.now() - m_attemptAt, isFailure);
+}
+
+void entry_call::attemptFailed(failure reason)
+{
+    noteAttemptEnd(true);
+    m_lastFailed = m_target->id;
+    const bool isRemote = *m_target != m_router->m_self;
+    const bool isConnectionLoss = reason.code == error_code::connection_lost;
+    if (isRemote && isConnectionLoss && reason.outcome == verdict::may_have_run)
+        return inquire(reason);
+    retryOrFail(reason);
+}
+
+void entry_call::inquire(const failure& reason)
+{
+    auto* client = m_router->m_peers.find(*m_router->m_snapshot, *m_target);
+    const auto now = m_router->m_hooks.now();
+    if (!client || now >= m_call->deadline)
+        return retryOrFail(reason);
+    const auto ago = now - m_attemptAt;
+    http_request request { "POST", "/v1/outcomes/" + attemptId(), {}, "" };
+    request.headers.add(header::target, toString(*m_target));
+    request.body = json { { "sent_ago_us", ago.count() } }.dump();
+    m_inquiry = fetch(*client, std::move(request), std::min(now + inquiryTimeout, m_call->deadline), inquiryBodyLimit,
+        [weak = weak_from_this(), reason](const result<http_response>& answer) {
+            if (const auto self = weak.lock())
+                self->inquired(reason, answer);
+        });
+}
+
+void entry_call::inquired(const failure& reason, const result<http_response>& answer)
+{
+    m_inquiry = nullptr;
+    if (m_isOver)
+        return;
+    if (answer.has_error() || answer.value().head.status != 200)
+        return retryOrFail(reason);
+    switch (parseState(answer.value().body)) {
+    case request_state::refused:
+        return retryOrFail(notRun(reason.code, "the owner's node will not run the request"));
+    case request_state::answered:
+        // The owner's ledger repeats the answer to the same token, or says that it is not kept.
+        if (m_call->policy.once == once_mode::token) {
+            m_mayHaveRun = true;
+            return attempt();
+        }
+        return retryOrFail(reason);
+    default:
+        return retryOrFail(reason);
+    }
+}
+
+void entry_call::retryOrFail(const failure& reason)
+{
+    m_mayHaveRun = m_mayHaveRun || reason.outcome == verdict::may_have_run;
+    if (!mayRetry(reason, m_call->policy))
+        return fail(reason);
+    const bool isOwned = m_call->policy.ownership != ownership_need::none;
+    if (isOwned && dependsOnRoute(reason.code))
+        return waitForRoute(reason);
+    if (!isOwned && dependsOnMember(reason.code) && m_router->m_hooks.mayRetryNow()) {
+        m_retry.startOnce(nextBackoff());
+        return;
+    }
+    fail(reason);
+}
+
+void entry_call::waitForRoute(const failure& reason)
+{
+    const auto now = m_router->m_hooks.now();
+    if (now >= m_call->deadline)
+        return fail(reason);
+    m_isWaitingForRoute = true;
+    // A new snapshot wakes the call at once. The timer serves for changes that no snapshot announces, such as a lease
+    // that is valid again; it spends the retry budget.
+    const auto backoff = nextBackoff();
+    if (m_attempts == 0 || m_router->m_hooks.mayRetryNow())
+        m_retry.startAt(std::min(now + backoff, m_call->deadline));
+    else
+        m_retry.startAt(std::min(now + m_router->m_limits.longestBackoff, m_call->deadline));
+}
+
+duration entry_call::nextBackoff()
+{
+    const auto doublings = std::clamp(m_attempts, 0, 10);
+    const auto longest
+        = std::min(m_router->m_limits.firstBackoff * (1 << doublings), m_router->m_limits.longestBackoff);
+    return std::chrono::duration_cast<duration>(longest * (0.5 + 0.5 * m_router->m_hooks.jitter()));
+}
+
+void entry_call::wake()
+{
+    if (!m_isWaitingForRoute || m_isOver)
+        return;
+    const auto owner = chooseOwner();
+    // The timer goes on if the snapshot changed nothing for this call.
+    if (owner && owner != m_target)
+        m_retry.startOnce(std::chrono::duration_cast<duration>(wakeSpread * m_router->m_hooks.jitter()));
+}
+
+void entry_call::fail(failure reason)
+{
+    if (m_mayHaveRun && reason.outcome == verdict::not_run)
+        reason.outcome = verdict::may_have_run;
+    const auto keepAlive = shared_from_this();
+    m_exchange->respond(toFailureResponse(reason, m_requestId));
+    finish(reason.outcome, toString(reason.code));
+}
+
+void entry_call::finish(verdict outcome, std::string_view error)
+{
+    if (std::exchange(m_isOver, true))
+        return;
+    m_retry.stop();
+    m_exchange->onClosed(nullptr);
+    auto& hooks = m_router->m_hooks;
+    const auto now = hooks.now();
+    hooks.finished(m_call ? m_call->selector : "", outcome, error, now - m_startedAt);
+    if (hooks.spans && m_call && m_call->trace.isSampled) {
+        hooks.spans({ m_call->trace, m_parentSpan, "entry", toString(m_router->m_self), m_startedAt, now,
+            std::string(toString(outcome)), std::string(error) });
+    }
+    m_router->forget(*this);
+}
+
+void entry_call::callerLeft()
+{
+    if (m_isOver)
+        return;
+    const auto keepAlive = shared_from_this();
+    if (m_running) {
+        m_running->cancel();
+        noteAttemptEnd(false);
+    }
+    if (m_inquiry)
+        m_inquiry->cancel();
+    finish(m_attempts > 0 ? verdict::may_have_run : verdict::not_run, toString(error_code::cancelled));
+}
+
+void entry_call::detach()
+{
+    m_isOver = true;
+    m_retry.stop();
+    m_exchange->onClosed(nullptr);
+    if (m_running)
+        m_running->cancel();
+    if (m_inquiry)
+        m_inquiry->cancel();
+}
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/routing/task_messages.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "routing/backend_link.h"
+#include "routing/routing_snapshot.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace heatherdrift {
+
+// Messages from the control task to the request task.
+
+/// Serve as this process from now on. Calls of the process before it go on, but nothing new is started for it.
+struct become_process {
+    instance_ref self;
+};
+/// Start nothing more as this process and cancel the calls that need ownership for their run; answered with
+/// serving_stopped.
+struct stop_serving {
+    instance_ref self;
+};
+struct use_snapshot {
+    routing_snapshot_ptr snapshot;
+};
+struct lease_update {
+    instance_ref self;
+    time_point end;
+};
+/// Empty: there is no backend server.
+struct backend_update {
+    std::optional<backend_description> backend;
+};
+/// Answered with partition_quiet.
+struct stop_partition {
+    partition_id partition;
+};
+struct resume_partition {
+    partition_id partition;
+};
+struct start_draining { };
+/// A request fingerprint that was in flight when a backend server crashed.
+struct request_strike {
+    std::uint64_t fingerprint = 0;
+    std::string strikeId;
+    std::int32_t weight = 1;
+
+    bool operator==(const request_strike&) const = default;
+};
+struct add_strikes {
+    std::vector<request_strike> strikes;
+};
+struct intent_inserted {
+    std::uint64_t id = 0;
+    result<void> outcome = outcome::success();
+};
+
+using to_request_task = std::variant<become_process, stop_serving, use_snapshot, lease_update, backend_update,
+    stop_partition, resume_partition, start_draining, add_strikes, intent_inserted>;
+
+// Messages from the request task to the control task.
+
+struct serving_stopped {
+    instance_ref self;
+};
+struct partition_quiet {
+    partition_id partition;
+};
+/// Whether the backend server answers.
+struct backend_state {
+    bool isAnswering = false;
+};
+/// Load of the last interval at this node's backend server.
+struct load_sample {
+    double busySlots = 0;
+    std::map<partition_index, double> partitions; ///< Mean busy slots of the busiest partitions.
+    std::map<std::string, double> keys; ///< Mean busy slots of the busiest keys.
+    int callsInProgress = 0;
+};
+struct new_strikes {
+    std::vector<request_strike> strikes;
+};
+struct insert_intent {
+    std::uint64_t id = 0;
+    std::string key;
+    std::string requestId;
+    time_point deadline;
+};
+
+using to_control_task
+    = std::variant<serving_stopped, partition_quiet, backend_state, load_sample, new_strikes, insert_intent>;
+
+} // namespace heatherdrift
