--- a/src/routing/internal/once_ledger.cpp
+++ b/src/routing/internal/once_ledger.cpp
@@ -132,8 +132,10 @@
 
 void once_ledger::setStarted(const once_token& token)
 {
-    if (auto* known = find(token))
+    if (auto* known = find(token)) {
         known->state = run_state::started;
+        known->isReleased = false;
+    }
 }
 
 void once_ledger::setUnknown(const once_token& token)
