Expose metrics of the control task

Change: gauges for lease, members, partitions, store, replica, control bytes and processor time of the control task, updated once a second.

--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -6,6 +6,7 @@
 #include "control/tcp_peer_transport.h"
 #include "http/http_server.h"
 #include "node/admin_service.h"
+#include "node/internal/node_metrics.h"
 #include "routing/request_task.h"
 #include "store/http_table_store.h"
 #include "store/resolving_store.h"
@@ -20,6 +21,7 @@
 
 namespace {
 
+    constexpr duration metricsInterval = std::chrono::seconds(1);
     constexpr std::size_t administrationBodyBytes = 512 * 1024;
 
     std::uint64_t randomSeed()
@@ -85,6 +87,9 @@
             m_requestThread = std::thread([this] { event_base_loop(m_requestBase.get(), EVLOOP_NO_EXIT_ON_EMPTY); });
             timer tick(m_controlBase.get(), [this] { m_node->tick(); });
             tick.startRepeating(tickInterval);
+            node_metrics metrics(m_metrics);
+            timer measure(m_controlBase.get(), [&] { metrics.update(*m_node, m_transport->counts()); });
+            measure.startRepeating(metricsInterval);
             const auto terminate = watchSignal(SIGTERM);
             const auto interrupt = watchSignal(SIGINT);
             logEvent(log_event::node_started,
