Record in a member row since when its address is the same

Cause: a newer incarnation proves that an older process has terminated only if both bound the same address. A row alone did not tell, so a takeover by a process that had just started could not judge whether a witness's predecessor still runs. Change: member_row::firstAtAddress, 0 if unknown, which proves nothing. Conclusion: the proof needs only the current row.

--- a/src/store/member_row.h
+++ b/src/store/member_row.h
@@ -30,6 +30,9 @@
 /// Row of the table "members", keyed by the instance's id.
 struct member_row {
     instance_ref self;
+    /// Incarnations from this one to the present have had the same control address, so all before the present have
+    /// terminated; 0 if unknown.
+    incarnation firstAtAddress = 0;
     member_state state = member_state::joining;
     std::string region;
     std::string availabilityZone;
