--- /dev/null
+++ b/src/lease/internal/takeover.cpp
@@ -0,0 +1,396 @@
+#include "lease/takeover.h"
+
+#include "lease/witness_selection.h"
+
+#include <algorithm>
+
+namespace heatherdrift {
+
+takeover::takeover(takeover_start start, const lease_settings& settings)
+    : m_start(std::move(start))
+    , m_settings(settings)
+    , m_backoff(settings, m_start.seed)
+{
+}
+
+std::vector<takeover_action> takeover::start()
+{
+    beginReading();
+    return std::exchange(m_actions, {});
+}
+
+std::vector<takeover_action> takeover::handle(const takeover_input& input, time_point now)
+{
+    if (m_stage != takeover_stage::finished)
+        std::visit([&](const auto& value) { on(value, now); }, input);
+    return std::exchange(m_actions, {});
+}
+
+// A late answer to an earlier read does no harm: older versions are ignored, and every write is conditional on the
+// version that it was decided on.
+void takeover::on(const row_read& answer, time_point now)
+{
+    if (answer.row)
+        learn(*answer.row, now);
+    if (m_stage != takeover_stage::reading)
+        return;
+    m_isHolderRead |= answer.id == m_start.holder.id;
+    m_isOwnRead |= answer.id == m_start.self.id;
+    if (m_isHolderRead && m_isOwnRead)
+        decide(now);
+}
+
+void takeover::on(const read_failed& answer, time_point now)
+{
+    const bool isNeeded = answer.id == m_start.holder.id || answer.id == m_start.self.id;
+    if (m_stage == takeover_stage::reading && isNeeded && m_retryAt <= now)
+        retryLater(now);
+}
+
+// An answer that proves nothing is never taken for an outcome; the rows are read again.
+void takeover::on(const commit_done& answer, time_point now)
+{
+    const bool isAwaited = m_stage == takeover_stage::marking || m_stage == takeover_stage::confirming;
+    if (!isAwaited || answer.operationId != m_written.operationId)
+        return;
+    if (answer.status == commit_status::applied)
+        return onApplied(answer.version, now);
+    if (answer.status == commit_status::unknown && m_settings.mutations.assumeApplied)
+        return onApplied(m_holderRow->version + 1, now);
+    if (answer.status == commit_status::conflict)
+        return beginReading();
+    m_stage = takeover_stage::reading;
+    retryLater(now);
+}
+
+void takeover::onApplied(row_version version, time_point now)
+{
+    m_backoff.reset();
+    noteProgress();
+    learn({ version, m_written }, now);
+    if (m_holderRow->version > version)
+        return beginReading();
+    return m_stage == takeover_stage::marking ? beginCollecting(now) : beginReassigning();
+}
+
+void takeover::on(const lease_promise& promise, time_point now)
+{
+    if (promise.holder != m_start.holder)
+        return;
+    m_quorum.add(promise.witness, now + (m_settings.mutations.noWait ? duration(0) : promise.remaining));
+    checkQuorum(now);
+}
+
+void takeover::on(const promise_refusal& refusal, time_point)
+{
+    if (refusal.holder == m_start.holder)
+        emit(read_row { refusal.witness.id });
+}
+
+void takeover::on(const silence_report& report, time_point now)
+{
+    if (report.holder != m_start.holder)
+        return;
+    m_answered.insert(report.witness);
+    if (report.silentFor >= m_settings.confirmedSilence())
+        m_silent.insert(report.witness);
+    checkInquiry(now);
+}
+
+void takeover::on(const member_seen& seen, time_point now) { learn(seen.row, now); }
+
+void takeover::on(const timer_due&, time_point now)
+{
+    const bool isRetryDue = now >= m_retryAt;
+    if (m_stage == takeover_stage::collecting)
+        return onCollectingTimer(now);
+    const bool isRetried = m_stage == takeover_stage::reading || m_stage == takeover_stage::inquiring;
+    if (!isRetried)
+        return;
+    if (!isRetryDue)
+        return emit(start_timer { m_retryAt });
+    if (m_stage == takeover_stage::inquiring) {
+        for (const auto& witness : witnesses()) {
+            if (!m_silent.contains(witness))
+                emit(read_row { witness.id });
+        }
+    }
+    beginReading();
+}
+
+void takeover::onCollectingTimer(time_point now)
+{
+    if (!releaseTime() && now >= m_retryAt) {
+        requestPromises();
+        // Rows may show what a lost answer or a slow replication does not: that the holder or a witness has restarted.
+        emit(read_row { m_start.holder.id });
+        for (const auto& witness : m_quorum.missing())
+            emit(read_row { witness.id });
+        noteStuck(m_quorum.missing(), now);
+        retryLater(now);
+    }
+    checkQuorum(now);
+}
+
+// Once the row is marked, or may be, there is no way back: the takeover is completed by whoever sees the mark.
+void takeover::on(const holder_heard&, time_point)
+{
+    const bool isUnmarked = m_stage == takeover_stage::reading || m_stage == takeover_stage::inquiring;
+    const bool isKnownMarked = m_holderRow && m_holderRow->row.state == member_state::fencing;
+    if (isUnmarked && !isKnownMarked && !m_start.isResumed && !m_declaredAt)
+        finish(takeover_outcome::abandoned);
+}
+
+void takeover::on(const declared_lost&, time_point now)
+{
+    if (!m_declaredAt)
+        m_declaredAt = now;
+    if (m_stage == takeover_stage::inquiring)
+        beginReading();
+    else if (m_stage == takeover_stage::collecting)
+        checkQuorum(now);
+}
+
+void takeover::on(const pages_reassigned&, time_point)
+{
+    if (m_stage == takeover_stage::reassigning)
+        finish(takeover_outcome::completed);
+}
+
+void takeover::beginReading()
+{
+    m_stage = takeover_stage::reading;
+    m_isHolderRead = m_isOwnRead = false;
+    emit(read_row { m_start.holder.id });
+    emit(read_row { m_start.self.id });
+}
+
+void takeover::learn(const versioned_member& seen, time_point now)
+{
+    m_terminations.learn(seen.row, now);
+    const bool isOwnNews = seen.row.self.id == m_start.self.id && (!m_ownRow || seen.version > m_ownRow->version);
+    const bool isHolderNews
+        = seen.row.self.id == m_start.holder.id && (!m_holderRow || seen.version > m_holderRow->version);
+    if (isOwnNews)
+        m_ownRow = seen;
+    if (isHolderNews)
+        m_holderRow = seen;
+    const bool isSame = seen.row.self == m_start.holder;
+    m_isOver |= isHolderNews && isSame && seen.row.state == member_state::fenced;
+    // A decision holds only for the rows it was made on. The row as it was marked is no news.
+    const bool isMark = isSame && seen.row.state == member_state::fencing;
+    if (m_stage == takeover_stage::inquiring && (isOwnNews || isHolderNews))
+        return decide(now);
+    if (m_stage == takeover_stage::collecting && isHolderNews && !isMark)
+        return decide(now);
+    countTerminated();
+    checkInquiry(now);
+    checkQuorum(now);
+}
+
+void takeover::decide(time_point now)
+{
+    const bool isOwnMissing = !m_ownRow || !isOwnRowUsable();
+    if (isOwnMissing || !m_holderRow || m_holderRow->row.self.number < m_start.holder.number)
+        return finish(takeover_outcome::abandoned);
+    const auto& row = m_holderRow->row;
+    if (row.self.number > m_start.holder.number)
+        return decideOnNewer(now);
+    if (m_firstWitnesses.empty())
+        m_firstWitnesses = row.witnesses;
+    const bool isMarked = row.state == member_state::fencing || row.state == member_state::fenced;
+    const bool isOthers = isMarked && row.fencedBy != m_start.self.id;
+    if (isOthers && !m_start.isResumed && !m_declaredAt)
+        return finish(takeover_outcome::left_to_other);
+    if (row.state == member_state::fenced)
+        return beginReassigning();
+    if (row.state == member_state::fencing)
+        return beginCollecting(now);
+    const bool isWitness = std::any_of(row.witnesses.begin(), row.witnesses.end(),
+        [this](const instance_ref& witness) { return witness.id == m_start.self.id; });
+    // Only the fencing mark needs the own row active: a draining instance still completes what others began.
+    if (row.state == member_state::left || m_ownRow->row.state != member_state::active)
+        return finish(takeover_outcome::abandoned);
+    if (m_declaredAt)
+        return commit(takeover_stage::marking, member_state::fencing);
+    if (!isWitness)
+        return finish(takeover_outcome::abandoned);
+    beginInquiry(now);
+}
+
+// At another address the newer process proves nothing about the older one, unless that was fenced before.
+void takeover::decideOnNewer(time_point now)
+{
+    const bool isDeclared = m_declaredAt && now >= *m_declaredAt + m_settings.witnessGrantTime();
+    if (m_isOver || isDeclared || m_terminations.terminatedSince(m_start.holder))
+        return beginReassigning();
+    m_stage = takeover_stage::reading;
+    noteStuck({}, now);
+    retryLater(now);
+}
+
+bool takeover::isOwnRowUsable() const
+{
+    const auto& row = m_ownRow->row;
+    return row.self == m_start.self && (row.state == member_state::active || row.state == member_state::draining);
+}
+
+// A witness that alone misses the holder has a fault of its own or of one link. Marking the row cannot be undone, so a
+// majority has to miss the holder first. Without this step an instance cut off from all others, but not from the store,
+// would mark every instance that it is a witness of.
+void takeover::beginInquiry(time_point now)
+{
+    m_stage = takeover_stage::inquiring;
+    m_silent.clear();
+    m_answered.clear();
+    countTerminated();
+    for (const auto& witness : witnesses()) {
+        if (witness.id == m_start.self.id)
+            m_silent.insert(witness);
+        else if (!m_silent.contains(witness))
+            emit(silence_inquiry { m_start.holder, witness });
+    }
+    checkInquiry(now);
+    if (m_stage == takeover_stage::inquiring)
+        retryLater(now);
+}
+
+void takeover::checkInquiry(time_point now)
+{
+    if (m_stage != takeover_stage::inquiring)
+        return;
+    const auto listed = witnesses();
+    const auto count = [&listed](const std::set<instance_ref>& among) {
+        return static_cast<std::size_t>(std::count_if(
+            listed.begin(), listed.end(), [&among](const instance_ref& witness) { return among.contains(witness); }));
+    };
+    const auto majority = majorityOf(listed.size());
+    if (majority != 0 && count(m_silent) >= majority)
+        return commit(takeover_stage::marking, member_state::fencing);
+    std::vector<instance_ref> missing;
+    std::copy_if(listed.begin(), listed.end(), std::back_inserter(missing),
+        [this](const instance_ref& witness) { return !m_silent.contains(witness) && !m_answered.contains(witness); });
+    if (listed.size() - missing.size() < majority)
+        return noteStuck(missing, now);
+    noteProgress();
+}
+
+// The row that was marked names the set; it can no longer change.
+void takeover::beginCollecting(time_point now)
+{
+    m_stage = takeover_stage::collecting;
+    const bool isStale = m_settings.mutations.staleWitnessSet;
+    m_quorum.collectFor(m_start.holder, isStale ? m_firstWitnesses : m_holderRow->row.witnesses);
+    countTerminated();
+    if (!releaseTime()) {
+        requestPromises();
+        retryLater(now);
+    }
+    checkQuorum(now);
+}
+
+void takeover::requestPromises()
+{
+    for (const auto& witness : m_quorum.missing())
+        emit(promise_request { m_start.holder, witness });
+}
+
+// The last grant of a terminated process was given before its successor registered; when that was seen, the whole of
+// the grant may still have been to come.
+void takeover::countTerminated()
+{
+    const auto wait = m_settings.mutations.substituteWithoutWait ? duration(0) : m_settings.witnessGrantTime();
+    for (const auto& witness : witnesses()) {
+        const auto terminated = m_terminations.terminatedSince(witness);
+        if (terminated && m_stage == takeover_stage::inquiring)
+            m_silent.insert(witness);
+        if (terminated && m_stage == takeover_stage::collecting)
+            m_quorum.add(witness, *terminated + wait);
+    }
+}
+
+void takeover::checkQuorum(time_point now)
+{
+    if (m_stage != takeover_stage::collecting)
+        return;
+    const auto release = releaseTime();
+    if (!release)
+        return emit(start_timer { m_retryAt });
+    if (now < *release)
+        return emit(start_timer { *release });
+    m_isOver = true;
+    commit(takeover_stage::confirming, member_state::fenced);
+}
+
+// The operator's word replaces the promises but not the wait: it also covers a process that was cut off from its
+// witnesses a moment ago and still counts on its last grants.
+std::optional<time_point> takeover::releaseTime() const
+{
+    const auto release = m_quorum.releaseTime();
+    if (!m_declaredAt)
+        return release;
+    const auto declared = *m_declaredAt + m_settings.witnessGrantTime();
+    return release ? std::min(*release, declared) : declared;
+}
+
+// The version ties the write to the incarnation and the witness set that were read. The check of the own row lets only
+// one of two instances that suspect each other succeed.
+void takeover::commit(takeover_stage stage, member_state state)
+{
+    m_stage = stage;
+    m_written = m_holderRow->row;
+    m_written.state = state;
+    m_written.operationId = m_start.operationPrefix + "/" + std::to_string(++m_operations);
+    commit_row action { m_written.operationId, {}, m_holderRow->version, {} };
+    if (state == member_state::fencing) {
+        m_written.fencedBy = m_start.self.id;
+        action.checks.push_back({ { memberTable, m_start.self.id }, m_ownRow->version });
+    }
+    action.row = m_written;
+    emit(std::move(action));
+}
+
+void takeover::beginReassigning()
+{
+    m_stage = takeover_stage::reassigning;
+    noteProgress();
+    emit(reassign_pages { m_start.holder });
+}
+
+void takeover::finish(takeover_outcome outcome)
+{
+    m_stage = takeover_stage::finished;
+    noteProgress();
+    emit(finished { m_start.holder, outcome });
+}
+
+void takeover::retryLater(time_point now)
+{
+    m_retryAt = now + m_backoff.next();
+    emit(start_timer { m_retryAt });
+}
+
+void takeover::noteProgress()
+{
+    m_stuckSince.reset();
+    m_isBlocked = false;
+}
+
+void takeover::noteStuck(const std::vector<instance_ref>& missing, time_point now)
+{
+    if (!m_stuckSince)
+        m_stuckSince = now;
+    if (m_isBlocked || now - *m_stuckSince < m_settings.blockedAfter)
+        return;
+    m_isBlocked = true;
+    emit(report_blocked { m_start.holder, missing });
+}
+
+void takeover::emit(takeover_action action) { m_actions.push_back(std::move(action)); }
+
+std::vector<instance_ref> takeover::witnesses() const
+{
+    return m_holderRow ? m_holderRow->row.witnesses : std::vector<instance_ref>();
+}
+
+} // namespace heatherdrift
