--- a/src/base/identifiers.h
+++ b/src/base/identifiers.h
@@ -43,6 +43,11 @@
     auto operator<=>(const endpoint&) const = default;
 };
 
+/// Whether the text may name an instance, availability zone, region, pool, selector or label.
+bool isName(std::string_view);
+/// What isName() demands, for error messages.
+constexpr const char* nameRule = "expected 1 to 63 of [a-z0-9._-], starting with a letter";
+
 /// "id#number".
 std::string toString(const instance_ref&);
 /// "ip:port", with brackets around IPv6.
--- a/src/base/internal/failure.cpp
+++ b/src/base/internal/failure.cpp
@@ -1,15 +1,13 @@
 #include "base/failure.h"
 
-#include <algorithm>
-#include <array>
+#include "base/enum_names.h"
+
 #include <utility>
 
 namespace heatherdrift {
 
 namespace {
 
-    template <typename Enum, std::size_t size> using name_table = std::array<std::pair<Enum, std::string_view>, size>;
-
     constexpr name_table<verdict, 3> verdictNames { {
         { verdict::not_run, "not_run" },
         { verdict::may_have_run, "may_have_run" },
@@ -42,21 +40,6 @@
         { error_code::too_large, "too_large" },
     } };
 
-    template <typename Enum, std::size_t size> std::string_view nameOf(const name_table<Enum, size>& table, Enum value)
-    {
-        const auto found = std::ranges::find(table, value, &std::pair<Enum, std::string_view>::first);
-        return found == table.end() ? "unknown" : found->second;
-    }
-
-    template <typename Enum, std::size_t size>
-    std::optional<Enum> valueOf(const name_table<Enum, size>& table, std::string_view name)
-    {
-        const auto found = std::ranges::find(table, name, &std::pair<Enum, std::string_view>::second);
-        if (found == table.end())
-            return std::nullopt;
-        return found->first;
-    }
-
 } // namespace
 
 std::string_view toString(verdict value) { return nameOf(verdictNames, value); }
--- a/src/base/internal/identifiers.cpp
+++ b/src/base/internal/identifiers.cpp
@@ -1,5 +1,6 @@
 #include "base/identifiers.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 
@@ -24,6 +25,15 @@
 
 } // namespace
 
+bool isName(std::string_view text)
+{
+    constexpr std::size_t longest = 63;
+    const auto isLetter = [](char c) { return c >= 'a' && c <= 'z'; };
+    const auto isAllowed
+        = [&](char c) { return isLetter(c) || (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-'; };
+    return !text.empty() && text.size() <= longest && isLetter(text.front()) && std::ranges::all_of(text, isAllowed);
+}
+
 std::string toString(const instance_ref& value) { return value.id + "#" + std::to_string(value.number); }
 
 std::string toString(const endpoint& value)
--- a/src/base/internal/json_reader.cpp
+++ b/src/base/internal/json_reader.cpp
@@ -2,6 +2,32 @@
 
 namespace heatherdrift {
 
+namespace {
+
+    /// Parser callback that finds a field given twice in one object. The parser would keep the last one silently, so
+    /// that an operator's change could be lost without an error.
+    class duplicate_finder {
+    public:
+        bool operator()(int, json::parse_event_t event, const json& parsed)
+        {
+            if (event == json::parse_event_t::object_start)
+                m_open.emplace_back();
+            else if (event == json::parse_event_t::object_end)
+                m_open.pop_back();
+            else if (event == json::parse_event_t::key && !m_name && !m_open.back().insert(parsed).second)
+                m_name = parsed.get<std::string>();
+            return true;
+        }
+
+        const std::optional<std::string>& name() const { return m_name; }
+
+    private:
+        std::vector<std::set<std::string>> m_open;
+        std::optional<std::string> m_name;
+    };
+
+} // namespace
+
 json_reader::json_reader(const json& value, std::string path, error_code code)
     : m_value(value)
     , m_path(std::move(path))
@@ -166,10 +192,17 @@
 
 result<json> parseJson(std::string_view text, error_code code)
 {
+    duplicate_finder duplicates;
     try {
-        return json::parse(text);
+        auto document = json::parse(text, std::ref(duplicates));
+        if (duplicates.name())
+            return notRun(code, "field \"" + *duplicates.name() + "\" is given twice in one object");
+        return document;
     } catch (const json::parse_error& error) {
         return notRun(code, "not valid JSON at byte " + std::to_string(error.byte));
+    } catch (const json::exception&) {
+        // A number beyond the range of a double is reported as another exception, which has no byte offset.
+        return notRun(code, "not valid JSON: a number is out of range");
     }
 }
 
--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/enum_names.h"
 #include "base/failure.h"
 #include "base/identifiers.h"
 
@@ -38,6 +39,18 @@
         if (readIntegerValue(name, value, range, when))
             target = static_cast<Integer>(value);
     }
+    /// One of the names in the table.
+    template <typename Enum, std::size_t size>
+    void readEnum(
+        const char* name, Enum& target, const name_table<Enum, size>& names, presence when = presence::required)
+    {
+        std::string text(nameOf(names, target));
+        readString(name, text, when);
+        const auto value = valueOf(names, text);
+        if (!value)
+            return reject(name, "expected one of " + listNames(names));
+        target = *value;
+    }
     void readNumber(const char* name, double& target, double least, double most, presence = presence::required);
     /// A count of milliseconds.
     void readMilliseconds(const char* name, duration& target, integer_range range, presence = presence::required);
@@ -72,7 +85,7 @@
     std::optional<failure> m_failure;
 };
 
-/// Parses JSON text; the failure names the byte offset.
+/// Parses JSON text; the failure names the byte offset or a field that one object has twice.
 result<json> parseJson(std::string_view text, error_code);
 
 } // namespace heatherdrift
--- a/src/base/tests/json_reader_test.cpp
+++ b/src/base/tests/json_reader_test.cpp
@@ -45,6 +45,9 @@
                 "address: expected an IP address and port such as 127.0.0.1:8080" },
             { R"([])", "document: expected an object" },
             { R"({"name":)", "not valid JSON at byte 9" },
+            // The parser keeps the last of two equal fields and throws no parse_error for 1e999.
+            { R"({"a":[{"name":"a","name":"b"}]})", "field \"name\" is given twice in one object" },
+            { R"({"name":1e999})", "not valid JSON: a number is out of range" },
         };
         for (const auto& entry : cases) {
             const auto outcome = parseSample(entry.text);
