--- a/src/configuration/labels.h
+++ b/src/configuration/labels.h
@@ -32,7 +32,7 @@
 };
 
 /// Label names: 1 to 63 of [a-z0-9._-], starting with a letter. Values: 0 to 255 printable ASCII bytes without commas
-/// and equals signs.
+/// and equals signs, and without a space at either end.
 result<void> checkLabel(std::string_view name, std::string_view value, const std::string& path, error_code);
 
 /// Parses {"name": "value"}.
