Add the settings module: the JSON settings of heatherdriftd

Cause: a node must not start with an address, a limit or a lease timing that contradicts another. Conclusion: heatherdriftd can read its settings.

--- /dev/null
+++ b/src/settings/internal/node_settings_file.cpp
@@ -0,0 +1,50 @@
+#include "settings/node_settings.h"
+
+#include <cerrno>
+#include <cstdio>
+#include <memory>
+#include <system_error>
+
+namespace heatherdrift {
+
+namespace {
+
+    failure fileFailure(const std::string& path, const std::string& reason)
+    {
+        return notRun(error_code::invalid_settings, path + ": " + reason);
+    }
+
+    std::string describe(int systemError) { return std::generic_category().message(systemError); }
+
+    result<std::string> readFile(const std::string& path)
+    {
+        const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(std::fopen(path.c_str(), "rbe"), &std::fclose);
+        if (!file)
+            return fileFailure(path, "cannot be opened: " + describe(errno));
+        std::string text(maximumSettingsBytes + 1, '\0');
+        text.resize(std::fread(text.data(), 1, text.size(), file.get()));
+        if (std::ferror(file.get()) != 0)
+            return fileFailure(path, "cannot be read: " + describe(errno));
+        if (text.size() > maximumSettingsBytes)
+            return fileFailure(path, "larger than " + std::to_string(maximumSettingsBytes) + " bytes");
+        return text;
+    }
+
+    result<node_settings> parseText(std::string_view text)
+    {
+        BOOST_OUTCOME_TRY(document, parseJson(text, error_code::invalid_settings));
+        return parseNodeSettings(document);
+    }
+
+} // namespace
+
+result<node_settings> loadNodeSettings(const std::string& path)
+{
+    BOOST_OUTCOME_TRY(text, readFile(path));
+    auto settings = parseText(text);
+    if (settings.has_error())
+        return fileFailure(path, settings.error().message);
+    return settings;
+}
+
+} // namespace heatherdrift
