Connect the admission policies to the request path; refuse peers with other lease times

Cause: the executor had fixed service times and no quarantine; nodes with different lease settings could exchange grants; a node behind in configuration served up to 4.5 s, above the 4 s target. Change: backend_admission, load_view and retry_budget drive the executor and the entry node; a lost connection is judged by a check of the backend server before its slot is free again, so that the calls running in a crash get their strikes; the hello carries a hash of the lease settings; the limit for an old configuration is 2 s; an apply whose outcome cannot be read is may_have_run. Figures: with 2 s the lease ends at most 3.5 s after a witness has the newer version (before: 4.5 s, by arithmetic).

--- a/src/control/internal/control_node.cpp
+++ b/src/control/internal/control_node.cpp
@@ -383,7 +383,9 @@
             if (row.has_error())
                 return done(mayHaveRun(error_code::store_unavailable, "the outcome of the change is not known"));
             const auto how = heatherdrift::resolveApply(row.value(), operationId);
-            if (how.has_value() && how.value() == apply_outcome::applied)
+            if (how.has_error() || how.value() == apply_outcome::unknown)
+                return done(mayHaveRun(error_code::store_unavailable, "the outcome of the change is not known"));
+            if (how.value() == apply_outcome::applied)
                 return done(version);
             done(applyConflict(version));
         });
--- a/src/control/internal/strike_relay.cpp
+++ b/src/control/internal/strike_relay.cpp
@@ -1,36 +1,38 @@
 #include "control/internal/strike_relay.h"
 
+#include <algorithm>
+
 namespace heatherdrift {
 
 namespace {
 
     /// Strikes remembered so that none is passed on twice; a strike crosses the mesh in well under a second.
     constexpr std::size_t rememberedStrikes = 4096;
-    constexpr std::size_t maximumStrikeIdBytes = 128;
 
 } // namespace
 
-void strike_relay::spread(const std::vector<request_strike>& strikes) { send(onlyNew(strikes), nullptr); }
+void strike_relay::spread(const std::vector<crash_strike>& strikes) { send(onlyNew(strikes), nullptr); }
 
-std::vector<request_strike> strike_relay::accept(const instance_ref& sender, const wire::Strikes& message)
+std::vector<crash_strike> strike_relay::accept(const instance_ref& sender, const wire::Strikes& message)
 {
-    std::vector<request_strike> strikes;
+    std::vector<crash_strike> strikes;
     for (const auto& strike : message.strikes) {
-        if (strike.strikeId.size() <= maximumStrikeIdBytes)
-            strikes.push_back({ static_cast<std::uint64_t>(strike.fingerprint), strike.strikeId, strike.weight });
+        const duration age(std::max<std::int64_t>(strike.ageMicroseconds, 0));
+        strikes.push_back({ static_cast<std::uint64_t>(strike.id), static_cast<std::uint64_t>(strike.fingerprint),
+            std::clamp(strike.weight, 0.0, 1.0), m_context.now() - age });
     }
     auto fresh = onlyNew(strikes);
     send(fresh, &sender);
     return fresh;
 }
 
-std::vector<request_strike> strike_relay::onlyNew(const std::vector<request_strike>& strikes)
+std::vector<crash_strike> strike_relay::onlyNew(const std::vector<crash_strike>& strikes)
 {
-    std::vector<request_strike> fresh;
+    std::vector<crash_strike> fresh;
     for (const auto& strike : strikes) {
-        if (!m_known.insert(strike.strikeId).second)
+        if (!m_known.insert(strike.id).second)
             continue;
-        m_order.push_back(strike.strikeId);
+        m_order.push_back(strike.id);
         fresh.push_back(strike);
     }
     while (m_order.size() > rememberedStrikes) {
@@ -40,16 +42,17 @@
     return fresh;
 }
 
-void strike_relay::send(const std::vector<request_strike>& strikes, const instance_ref* except)
+void strike_relay::send(const std::vector<crash_strike>& strikes, const instance_ref* except)
 {
     if (strikes.empty())
         return;
     wire::Strikes list;
     for (const auto& strike : strikes) {
         wire::Strike entry;
+        entry.__set_id(static_cast<std::int64_t>(strike.id));
         entry.__set_fingerprint(static_cast<std::int64_t>(strike.fingerprint));
-        entry.__set_strikeId(strike.strikeId);
         entry.__set_weight(strike.weight);
+        entry.__set_ageMicroseconds((m_context.now() - strike.at).count());
         list.strikes.push_back(entry);
     }
     wire::Message message;
--- a/src/control/internal/strike_relay.h
+++ b/src/control/internal/strike_relay.h
@@ -18,18 +18,18 @@
 
     void setNeighbours(std::vector<peer_address> neighbours) { m_neighbours = std::move(neighbours); }
     /// Strikes of this node's request task.
-    void spread(const std::vector<request_strike>&);
+    void spread(const std::vector<crash_strike>&);
     /// Strikes of another node; returns those that are new here.
-    std::vector<request_strike> accept(const instance_ref& sender, const wire::Strikes&);
+    std::vector<crash_strike> accept(const instance_ref& sender, const wire::Strikes&);
 
 private:
-    std::vector<request_strike> onlyNew(const std::vector<request_strike>&);
-    void send(const std::vector<request_strike>&, const instance_ref* except);
+    std::vector<crash_strike> onlyNew(const std::vector<crash_strike>&);
+    void send(const std::vector<crash_strike>&, const instance_ref* except);
 
     control_context& m_context;
     std::vector<peer_address> m_neighbours;
-    std::set<std::string> m_known;
-    std::deque<std::string> m_order;
+    std::set<std::uint64_t> m_known;
+    std::deque<std::uint64_t> m_order;
 };
 
 } // namespace heatherdrift
--- a/src/control/internal/tcp_peer_transport.cpp
+++ b/src/control/internal/tcp_peer_transport.cpp
@@ -44,7 +44,7 @@
         return value;
     }
 
-    wire::Message helloFrom(const instance_ref& self)
+    wire::Message helloFrom(const instance_ref& self, std::int64_t agreement)
     {
         wire::InstanceRef sender;
         sender.__set_id(self.id);
@@ -52,6 +52,7 @@
         wire::Hello hello;
         hello.__set_sender(sender);
         hello.__set_protocolVersion(protocolVersion);
+        hello.__set_agreement(agreement);
         wire::Message message;
         message.__set_hello(hello);
         return message;
@@ -148,7 +149,7 @@
             auto* connection = add(-1);
             connection->peer = to.self;
             m_byPeer[to.self] = connection;
-            write(*connection, helloFrom(*m_self));
+            write(*connection, helloFrom(*m_self, m_limits.agreement));
             if (bufferevent_socket_connect(
                     connection->stream.get(), reinterpret_cast<sockaddr*>(&native->storage), native->size)
                 != 0) {
@@ -203,7 +204,7 @@
             }
             auto* connection = self.add(descriptor);
             disableNagle(*connection);
-            self.write(*connection, helloFrom(*self.m_self));
+            self.write(*connection, helloFrom(*self.m_self, self.m_limits.agreement));
         }
 
         static void readable(bufferevent* stream, void* argument)
@@ -240,6 +241,10 @@
                 reject(connection, "the first message is no hello of this protocol version");
                 return false;
             }
+            if (message.hello.agreement != m_limits.agreement) {
+                reject(connection, "the peer has other lease settings");
+                return false;
+            }
             const instance_ref sender { message.hello.sender.id,
                 static_cast<incarnation>(message.hello.sender.incarnation) };
             if (connection.peer && *connection.peer != sender) {
--- a/src/control/tcp_peer_transport.h
+++ b/src/control/tcp_peer_transport.h
@@ -15,6 +15,9 @@
     duration idle = std::chrono::seconds(60); ///< A connection without messages for so long is closed.
     duration firstReconnect = std::chrono::milliseconds(100);
     duration longestReconnect = std::chrono::seconds(2);
+    /// Sent in the hello; a peer with another value is refused. Holder and witness count a lease by their own settings,
+    /// so nodes whose lease times differ must not exchange grants.
+    std::int64_t agreement = 0;
 };
 
 struct transport_counts {
--- a/src/lease/tests/witness_test.cpp
+++ b/src/lease/tests/witness_test.cpp
@@ -66,12 +66,12 @@
                 "granted" },
             { [](witness& w) { w.learnMember(holderRow(3, member_state::fenced, {}), at(0)); }, renewalOf(3), 0,
                 "fenced" },
-            { [](witness& w) { w.learnConfiguration(6, at(0)); }, renewalOf(3), 3000, "granted" },
-            { [](witness& w) { w.learnConfiguration(6, at(0)); }, renewalOf(3), 3001, "stale_configuration" },
-            { [](witness& w) { w.learnConfiguration(6, at(0)), w.learnConfiguration(7, at(3000)); }, renewalOf(3, 6),
-                3001, "granted" },
-            { [](witness& w) { w.learnConfiguration(6, at(0)), w.learnConfiguration(7, at(3000)); }, renewalOf(3, 5),
-                3001, "stale_configuration" },
+            { [](witness& w) { w.learnConfiguration(6, at(0)); }, renewalOf(3), 2000, "granted" },
+            { [](witness& w) { w.learnConfiguration(6, at(0)); }, renewalOf(3), 2001, "stale_configuration" },
+            { [](witness& w) { w.learnConfiguration(6, at(0)), w.learnConfiguration(7, at(2000)); }, renewalOf(3, 6),
+                2001, "granted" },
+            { [](witness& w) { w.learnConfiguration(6, at(0)), w.learnConfiguration(7, at(2000)); }, renewalOf(3, 5),
+                2001, "stale_configuration" },
         };
         for (std::size_t i = 0; i < std::size(cases); ++i) {
             witness asked(self, settings, at(0));
--- a/src/messages/control.thrift
+++ b/src/messages/control.thrift
@@ -19,6 +19,8 @@
 struct Hello {
   1: InstanceRef sender
   2: i32 protocolVersion
+  // Hash of the settings that both sides must share: lease times and drift share.
+  3: i64 agreement
 }
 
 struct Renewal {
@@ -115,9 +117,11 @@
 
 // A request fingerprint that was in flight when a backend server crashed.
 struct Strike {
-  1: i64 fingerprint
-  2: string strikeId
-  3: i32 weight
+  1: i64 id
+  2: i64 fingerprint
+  3: double weight
+  // Time since the crash, in microseconds.
+  4: i64 ageMicroseconds
 }
 
 struct Strikes {
--- a/src/node/heatherdriftd.cpp
+++ b/src/node/heatherdriftd.cpp
@@ -30,6 +30,8 @@
     const auto settings = heatherdrift::loadNodeSettings(absl::GetFlag(FLAGS_settings));
     if (settings.has_error())
         return reject(settings.error());
+    if (const auto checked = heatherdrift::node::check(settings.value()); checked.has_error())
+        return reject(checked.error());
     if (absl::GetFlag(FLAGS_check)) {
         std::cout << "settings are valid\n";
         return 0;
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/delayed_calls.h"
 #include "base/event_handle.h"
+#include "base/hash.h"
 #include "control/control_node.h"
 #include "control/tcp_peer_transport.h"
 #include "http/http_server.h"
@@ -40,6 +41,13 @@
         return settings;
     }
 
+    /// Equal for settings under which a holder and a witness agree on the end of a lease.
+    std::int64_t agreementOf(const lease_settings& settings)
+    {
+        const auto text = std::to_string(settings.ttl.count()) + "/" + std::to_string(settings.driftShare);
+        return static_cast<std::int64_t>(hashBytes(text));
+    }
+
     class heatherdrift_node : public node {
     public:
         explicit heatherdrift_node(const node_settings& settings)
@@ -61,20 +69,22 @@
 
         result<void> listen()
         {
-            BOOST_OUTCOME_TRYV(checkLeaseSettings(toLeaseSettings(m_settings.lease)));
+            BOOST_OUTCOME_TRYV(check(m_settings));
+            transport_limits limits;
+            limits.agreement = agreementOf(toLeaseSettings(m_settings.lease));
             BOOST_OUTCOME_TRY(
-                transport, tcp_peer_transport::listen(m_controlBase.get(), m_settings.listeners.control, {}));
+                transport, tcp_peer_transport::listen(m_controlBase.get(), m_settings.listeners.control, limits));
             m_transport = std::move(transport);
             m_fromRequests = std::make_unique<mailbox<to_control_task>>(
                 m_controlBase.get(), [this](const to_control_task& message) { m_node->onRequestTask(message); });
             BOOST_OUTCOME_TRY(requests, request_task::create(m_requestBase.get(), requestSettings(), requestHooks()));
             m_requests = std::move(requests);
             makeControlNode();
-            http_server_limits limits;
-            limits.bodyBytes = administrationBodyBytes;
+            http_server_limits adminLimits;
+            adminLimits.bodyBytes = administrationBodyBytes;
             m_adminService = std::make_unique<admin_service>(*m_node, m_metrics);
             BOOST_OUTCOME_TRY(admin,
-                http_server::listen(m_controlBase.get(), m_settings.listeners.admin, limits,
+                http_server::listen(m_controlBase.get(), m_settings.listeners.admin, adminLimits,
                     [this](http_exchange_ptr exchange) { m_adminService->handle(std::move(exchange)); }));
             m_admin = std::move(admin);
             return outcome::success();
@@ -189,6 +199,8 @@
 
 } // namespace
 
+result<void> node::check(const node_settings& settings) { return checkLeaseSettings(toLeaseSettings(settings.lease)); }
+
 result<std::unique_ptr<node>> node::create(const node_settings& settings)
 {
     auto created = std::make_unique<heatherdrift_node>(settings);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,9 @@
 public:
     virtual ~node() = default;
 
+    /// Checks what the settings module cannot: whether the lease times fit together. Fails with invalid_settings.
+    static result<void> check(const node_settings&);
+
     /// Binds all listeners. Fails with invalid_settings; nothing is started then.
     static result<std::unique_ptr<node>> create(const node_settings&);
 
--- a/src/routing/call_executor.h
+++ b/src/routing/call_executor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "admission/admission_queue.h"
+#include "admission/backend_admission.h"
 #include "base/event_handle.h"
 #include "routing/backend_link.h"
 #include "routing/call_runner.h"
@@ -38,8 +38,10 @@
     std::function<void(
         const std::string& key, const std::string& requestId, time_point deadline, std::function<void(result<void>)>)>
         insertIntent;
-    /// The backend server closed or refused a connection.
+    /// The backend server closed or refused a connection: it is to be checked at once.
     std::function<void()> backendFailed;
+    /// Strikes against the requests that were running when the backend server crashed.
+    std::function<void(std::vector<crash_strike>)> strikes;
 };
 
 /// Runs calls at the backend server beside this process, after checking that this process may: it owns the key, its
@@ -70,6 +72,10 @@
     result<claim_answer> claim(const once_token&, std::uint64_t fingerprint, const std::string& claimant);
 
     int callsInProgress() const { return static_cast<int>(m_calls.size()); }
+    /// A check of the backend server ended; `isCrashed` if it refused or lost the connection.
+    void backendChecked(bool isCrashed);
+    void mergeStrikes(const std::vector<crash_strike>&);
+
     /// Starts nothing more, and cancels the calls that need ownership for their run.
     void stopServing();
     /// Load since the last call.
@@ -82,12 +88,12 @@
     result<std::optional<backend_grant>> authorize(const call&, const call_target&) const;
     void submit(executed_call&);
     void apply(const admission_actions&);
-    void ended(executed_call&, bool heldSlot);
+    void ended(executed_call&, std::optional<admission_end>);
     void advance();
     void scheduleAdvance();
     void cancelWithoutLease();
     void reportQuietPartitions();
-    admission_settings admissionSettings() const;
+    backend_admission_settings admissionSettings() const;
 
     event_base* m_base;
     executor_settings m_settings;
@@ -98,12 +104,15 @@
     backend_description m_description;
     once_ledger m_once;
     request_ledger m_requests;
-    std::unique_ptr<admission_queue> m_admission;
+    std::unique_ptr<backend_admission> m_admission;
     std::uint64_t m_nextCall = 1;
     std::unordered_map<std::uint64_t, std::shared_ptr<executed_call>> m_calls;
     std::map<partition_id, std::vector<std::function<void()>>> m_stopped;
     bool m_isDraining = false;
     bool m_isStopped = false;
+    std::uint64_t m_crashes = 0;
+    /// Calls whose connection was lost, until a check tells whether the backend server crashed.
+    std::vector<std::uint64_t> m_lostCalls;
     load_meter m_load;
     timer m_advance;
     timer m_leaseTimer;
--- a/src/routing/entry_router.h
+++ b/src/routing/entry_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/load_view.h"
 #include "base/event_handle.h"
 #include "http/http_server.h"
 #include "routing/call_runner.h"
@@ -32,7 +33,7 @@
         const routing_snapshot&, const std::string& pool, const instance_id& avoid)>
         pick;
     std::function<void(const instance_ref&)> started;
-    std::function<void(const instance_ref&, duration latency, bool isFailure)> ended;
+    std::function<void(const instance_ref&, const call_observation&)> ended;
 };
 
 struct entry_hooks {
--- a/src/routing/internal/backend_monitor.cpp
+++ b/src/routing/internal/backend_monitor.cpp
@@ -13,11 +13,10 @@
 
 } // namespace
 
-backend_monitor::backend_monitor(
-    event_base* base, const endpoint& address, clock_function now, std::function<void(bool)> onChange)
+backend_monitor::backend_monitor(event_base* base, const endpoint& address, clock_function now, hooks callbacks)
     : m_client(http_client::create(base, address, 2))
     , m_now(std::move(now))
-    , m_onChange(std::move(onChange))
+    , m_hooks(std::move(callbacks))
     , m_timer(base, [this] { check(); })
 {
     m_timer.startOnce({});
@@ -38,6 +37,7 @@
         [this](const result<http_response>& response) {
             m_isChecking = false;
             m_timer.startOnce(checkInterval);
+            m_hooks.checked(response.has_error() && response.error().code != error_code::deadline_exceeded);
             answered(response.has_value() && response.value().head.status < 500);
         });
 }
@@ -53,7 +53,7 @@
         return;
     m_run = 0;
     m_isAnswering = isAnswer;
-    m_onChange(isAnswer);
+    m_hooks.changed(isAnswer);
 }
 
 } // namespace heatherdrift
--- a/src/routing/internal/backend_monitor.h
+++ b/src/routing/internal/backend_monitor.h
@@ -14,7 +14,13 @@
 /// times in a row counts as gone, and as back after several answers in a row.
 class backend_monitor {
 public:
-    backend_monitor(event_base*, const endpoint&, clock_function, std::function<void(bool isAnswering)> onChange);
+    struct hooks {
+        std::function<void(bool isAnswering)> changed;
+        /// Called after each check: whether the connection was refused or lost.
+        std::function<void(bool isCrashed)> checked;
+    };
+
+    backend_monitor(event_base*, const endpoint&, clock_function, hooks);
 
     /// A call failed: the next check must not wait.
     void checkNow();
@@ -25,7 +31,7 @@
 
     std::unique_ptr<http_client> m_client;
     clock_function m_now;
-    std::function<void(bool)> m_onChange;
+    hooks m_hooks;
     timer m_timer;
     bool m_isChecking = false;
     bool m_isAnswering = true;
--- a/src/routing/internal/call_executor.cpp
+++ b/src/routing/internal/call_executor.cpp
@@ -45,7 +45,7 @@
     m_snapshot = std::move(snapshot);
     if (!hadConfiguration || !m_admission)
         return;
-    apply(m_admission->setSlots(admissionSettings().slots, m_hooks.now()));
+    apply(m_admission->setSlots(admissionSettings().queue.slots, m_hooks.now()));
 }
 
 void call_executor::stopServing()
@@ -69,26 +69,27 @@
     m_description = description;
     m_backend->warm(warmConnections, m_hooks.now() + warmTimeout);
     if (!m_admission)
-        m_admission = std::make_unique<admission_queue>(admissionSettings());
+        m_admission = std::make_unique<backend_admission>(admissionSettings());
     else
-        apply(m_admission->setSlots(admissionSettings().slots, m_hooks.now()));
+        apply(m_admission->setSlots(admissionSettings().queue.slots, m_hooks.now()));
 }
 
 void call_executor::removeBackend() { m_backend.reset(); }
 
-admission_settings call_executor::admissionSettings() const
-{
-    admission_settings settings;
-    const auto member
-        = m_snapshot ? m_snapshot->members.find(m_settings.self.id) : decltype(m_snapshot->members.end()) {};
-    const bool isKnown = m_snapshot && member != m_snapshot->members.end();
-    const auto* pool = isKnown ? m_snapshot->configuration->findPool(member->second.pool) : nullptr;
-    if (pool) {
-        settings.slots = pool->slots;
-        settings.shortShare = pool->shortShare;
+backend_admission_settings call_executor::admissionSettings() const
+{
+    backend_admission_settings settings;
+    if (m_snapshot) {
+        const auto member = m_snapshot->members.find(m_settings.self.id);
+        const bool isKnown = member != m_snapshot->members.end();
+        const auto* pool = isKnown ? m_snapshot->configuration->findPool(member->second.pool) : nullptr;
+        if (pool) {
+            settings.queue.slots = pool->slots;
+            settings.queue.shortShare = pool->shortShare;
+        }
     }
     if (m_description.slots > 0)
-        settings.slots = m_description.slots;
+        settings.queue.slots = m_description.slots;
     return settings;
 }
 
@@ -138,14 +139,14 @@
 void call_executor::submit(executed_call& queued)
 {
     const auto& source = queued.source();
-    const bool isShort = source.policy.length == call_length::short_call;
-    admission_request request;
+    admission_call request;
     request.id = queued.id();
-    request.level = { source.policy.length, source.policy.priority };
+    request.kind = { source.selector, source.request.method };
+    request.configured = source.policy.length;
+    request.priority = source.policy.priority;
     request.customer = source.customer;
     request.deadline = source.deadline;
-    request.expected = isShort ? std::chrono::milliseconds(5) : std::chrono::milliseconds(1000);
-    request.needed = request.expected;
+    request.fingerprint = fingerprintOf(source);
     apply(m_admission->submit(request, m_hooks.now()));
 }
 
@@ -166,17 +167,44 @@
 
 load_sample call_executor::takeLoad() { return m_load.take(m_hooks.now()); }
 
-void call_executor::ended(executed_call& call, bool heldSlot)
+void call_executor::ended(executed_call& call, std::optional<admission_end> how)
 {
     const auto id = call.id();
-    if (m_admission && heldSlot)
-        apply(m_admission->finish(id, m_hooks.now()));
-    else if (m_admission)
-        m_admission->cancel(id);
     m_calls.erase(id);
+    if (!m_admission)
+        return;
+    if (how == admission_end::failed) {
+        // The slot stays taken until it is known whether the call was running when the backend server crashed.
+        m_lostCalls.push_back(id);
+        m_hooks.backendFailed();
+    } else if (how) {
+        apply(m_admission->finish(id, *how, m_hooks.now()));
+    } else {
+        m_admission->cancel(id, m_hooks.now());
+    }
     reportQuietPartitions();
 }
 
+void call_executor::backendChecked(bool isCrashed)
+{
+    if (m_lostCalls.empty() || !m_admission)
+        return;
+    if (isCrashed) {
+        const auto crashId = toString(m_settings.self) + "/" + std::to_string(++m_crashes);
+        auto strikes = m_admission->crashed(crashId, m_hooks.now());
+        if (!strikes.empty() && m_hooks.strikes)
+            m_hooks.strikes(std::move(strikes));
+    }
+    for (const auto id : std::exchange(m_lostCalls, {}))
+        apply(m_admission->finish(id, admission_end::failed, m_hooks.now()));
+}
+
+void call_executor::mergeStrikes(const std::vector<crash_strike>& strikes)
+{
+    if (m_admission)
+        m_admission->merge(strikes);
+}
+
 void call_executor::advance()
 {
     if (m_admission)
--- a/src/routing/internal/entry_call.cpp
+++ b/src/routing/internal/entry_call.cpp
@@ -190,7 +190,7 @@
     if (m_isOver)
         return;
     if (m_relay->hasStarted()) {
-        noteAttemptEnd(how.has_error());
+        noteAttemptEnd(how.has_error() ? call_observation::kind::failure : call_observation::kind::success);
         if (how.has_value())
             m_relay->finish();
         else
@@ -202,17 +202,22 @@
     attemptFailed(how.has_error() ? how.error() : mayHaveRun(error_code::internal, "an answer without a head"));
 }
 
-void entry_call::noteAttemptEnd(bool isFailure)
+void entry_call::noteAttemptEnd(call_observation::kind how)
 {
     m_running = nullptr;
     m_relay->setSource(nullptr);
-    if (m_call->policy.ownership == ownership_need::none && m_target)
-        m_router->m_hooks.choice.ended(*m_target, m_router->m_hooks.now() - m_attemptAt, isFailure);
+    if (m_call->policy.ownership != ownership_need::none || !m_target)
+        return;
+    call_observation observation { how, std::nullopt };
+    if (m_call->policy.length == call_length::short_call)
+        observation.latency = m_router->m_hooks.now() - m_attemptAt;
+    m_router->m_hooks.choice.ended(*m_target, observation);
 }
 
 void entry_call::attemptFailed(failure reason)
 {
-    noteAttemptEnd(true);
+    const bool isRefusal = reason.code == error_code::overloaded || reason.code == error_code::draining;
+    noteAttemptEnd(isRefusal ? call_observation::kind::refused : call_observation::kind::failure);
     m_lastFailed = m_target->id;
     const bool isRemote = *m_target != m_router->m_self;
     const bool isConnectionLoss = reason.code == error_code::connection_lost;
@@ -340,7 +345,7 @@
     const auto keepAlive = shared_from_this();
     if (m_running) {
         m_running->cancel();
-        noteAttemptEnd(false);
+        noteAttemptEnd(call_observation::kind::cancelled);
     }
     if (m_inquiry)
         m_inquiry->cancel();
--- a/src/routing/internal/entry_call.h
+++ b/src/routing/internal/entry_call.h
@@ -35,7 +35,7 @@
     void fail(failure);
     void finish(verdict, std::string_view error);
     void callerLeft();
-    void noteAttemptEnd(bool isFailure);
+    void noteAttemptEnd(call_observation::kind);
     duration nextBackoff();
     std::string attemptId() const { return m_requestId + "." + std::to_string(m_attempts); }
 
--- a/src/routing/internal/executed_call.cpp
+++ b/src/routing/internal/executed_call.cpp
@@ -28,6 +28,21 @@
         return head.status >= 400 && head.headers.find(header::verdict) == toString(verdict::not_run);
     }
 
+    admission_end admissionEndOf(const result<void>& how)
+    {
+        if (how.has_value())
+            return admission_end::answered;
+        switch (how.error().code) {
+        case error_code::refused_by_backend:
+            return admission_end::shed;
+        case error_code::connection_lost:
+        case error_code::connection_failed:
+            return admission_end::failed;
+        default:
+            return admission_end::cancelled;
+        }
+    }
+
     bool isForeign(const http_response_head& head, const call& of)
     {
         const auto echoed = head.headers.find(header::requestId);
@@ -36,12 +51,11 @@
 
 } // namespace
 
-std::uint64_t fingerprintOf(const call& source)
+request_fingerprint fingerprintOf(const call& source)
 {
-    std::uint64_t hash = hashBytes(source.pool);
-    for (const auto* part : { &source.request.method, &source.request.target, &source.key, &source.request.body })
-        hash = hashBytes(*part, hash);
-    return hash;
+    const auto& request = source.request;
+    return fingerprintOf(
+        request_content { source.pool, request.method, request.target, source.key, request.body, source.token });
 }
 
 executed_call::executed_call(
@@ -280,8 +294,6 @@
             m_executor->m_once.setAnswered(*m_token, std::move(m_replay));
         return end(outcome::success());
     }
-    if (how.error().code != error_code::deadline_exceeded)
-        m_executor->m_hooks.backendFailed();
     end(how);
 }
 
@@ -360,7 +372,7 @@
     const auto handlers = std::exchange(m_handlers, {});
     if (heldSlot)
         m_executor->m_load.add(m_partition, m_call.key, now() - m_startedAt);
-    m_executor->ended(*this, heldSlot);
+    m_executor->ended(*this, heldSlot ? std::optional(admissionEndOf(how)) : std::nullopt);
     if (handlers.onDone)
         handlers.onDone(how);
 }
--- a/src/routing/internal/executed_call.h
+++ b/src/routing/internal/executed_call.h
@@ -5,7 +5,7 @@
 namespace heatherdrift {
 
 /// Fingerprint that tells whether two requests ask for the same thing.
-std::uint64_t fingerprintOf(const call&);
+request_fingerprint fingerprintOf(const call&);
 
 /// One call at the executor, from its arrival to its end.
 class executed_call : public http_call, public std::enable_shared_from_this<executed_call> {
--- a/src/routing/internal/forward_service.cpp
+++ b/src/routing/internal/forward_service.cpp
@@ -1,10 +1,9 @@
 #include "routing/forward_service.h"
 
+#include "base/enum_names.h"
 #include "base/json_reader.h"
 #include "routing/answer_relay.h"
 
-#include <array>
-
 namespace heatherdrift {
 
 namespace {
@@ -12,37 +11,19 @@
     constexpr std::string_view outcomePath = "/v1/outcomes/";
     constexpr std::string_view claimPath = "/v1/claims";
 
-    constexpr std::array<std::pair<claim_answer::kind, std::string_view>, 3> kindNames { {
+    constexpr name_table<claim_answer::kind, 3> kindNames { {
         { claim_answer::kind::granted, "granted" },
         { claim_answer::kind::repeated, "repeated" },
         { claim_answer::kind::unknown, "unknown" },
     } };
 
-    constexpr std::array<std::pair<run_state, std::string_view>, 4> stateNames { {
+    constexpr name_table<run_state, 4> stateNames { {
         { run_state::claimed, "claimed" },
         { run_state::started, "started" },
         { run_state::answered, "answered" },
         { run_state::unknown, "unknown" },
     } };
 
-    template <typename Table, typename Value> std::string nameIn(const Table& table, Value value)
-    {
-        for (const auto& [entry, name] : table) {
-            if (entry == value)
-                return std::string(name);
-        }
-        return "";
-    }
-
-    template <typename Value, typename Table> std::optional<Value> valueIn(const Table& table, std::string_view name)
-    {
-        for (const auto& [entry, entryName] : table) {
-            if (entryName == name)
-                return entry;
-        }
-        return std::nullopt;
-    }
-
     json toJson(const http_response& response)
     {
         return { { "status", response.head.status }, { "headers", response.head.headers.fields() },
@@ -91,8 +72,8 @@
 
     json toJson(const claim_answer& answer)
     {
-        json document = { { "kind", nameIn(kindNames, answer.what) }, { "claimant", answer.claimant },
-            { "state", nameIn(stateNames, answer.state) } };
+        json document = { { "kind", nameOf(kindNames, answer.what) }, { "claimant", answer.claimant },
+            { "state", nameOf(stateNames, answer.state) } };
         if (answer.answer)
             document["answer"] = toJson(*answer.answer);
         return document;
@@ -118,8 +99,8 @@
         return mayHaveRun(error_code::token_stale, "the claim's answer cannot be read");
     try {
         claim_answer answer;
-        const auto kind = valueIn<claim_answer::kind>(kindNames, document.at("kind").get<std::string>());
-        const auto state = valueIn<run_state>(stateNames, document.at("state").get<std::string>());
+        const auto kind = valueOf(kindNames, document.at("kind").get<std::string>());
+        const auto state = valueOf(stateNames, document.at("state").get<std::string>());
         if (!kind || !state)
             return mayHaveRun(error_code::token_stale, "the claim's answer cannot be read");
         answer.what = *kind;
--- a/src/routing/internal/member_picker.cpp
+++ b/src/routing/internal/member_picker.cpp
@@ -2,44 +2,97 @@
 
 namespace heatherdrift {
 
+member_picker::member_picker(instance_id self, clock_function now, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_now(std::move(now))
+    , m_random(seededRandom(seed))
+{
+}
+
 member_choice member_picker::hooks()
 {
     member_choice choice;
-    choice.pick = [this](const routing_snapshot& snapshot, const std::string& pool, const instance_id& avoid) {
-        return pick(snapshot, pool, avoid);
+    choice.pick = [this](const routing_snapshot&, const std::string& pool, const instance_id& avoid) {
+        return pick(pool, avoid);
     };
-    choice.started = [this](const instance_ref& member) { ++m_inFlight[member]; };
-    choice.ended = [this](const instance_ref& member, duration, bool) {
-        if (--m_inFlight[member] == 0)
-            m_inFlight.erase(member);
+    choice.started = [this](const instance_ref& member) {
+        if (auto* pool = viewOf(member))
+            pool->view->started(member.id, m_now());
     };
+    choice.ended
+        = [this](const instance_ref& member, const call_observation& observation) { ended(member, observation); };
     return choice;
 }
 
-std::optional<instance_ref> member_picker::pick(
-    const routing_snapshot& snapshot, const std::string& pool, const instance_id& avoid)
+void member_picker::setSnapshot(const routing_snapshot& snapshot)
 {
-    std::vector<instance_ref> members;
-    std::optional<instance_ref> avoided;
+    if (const auto own = snapshot.members.find(m_self); own != snapshot.members.end())
+        m_zone = own->second.availabilityZone;
+    std::map<std::string, std::map<instance_id, const member_route*>> serving;
     for (const auto& [id, route] : snapshot.members) {
-        if (!route.isServing || route.pool != pool)
-            continue;
-        if (id == avoid)
-            avoided = route.self;
-        else
-            members.push_back(route.self);
+        if (route.isServing)
+            serving[route.pool][id] = &route;
     }
-    if (members.empty())
-        return avoided;
-    const auto any
-        = [&] { return members[std::uniform_int_distribution<std::size_t>(0, members.size() - 1)(m_random)]; };
-    const auto first = any();
-    const auto second = any();
-    const auto busy = [&](const instance_ref& member) {
-        const auto found = m_inFlight.find(member);
-        return found == m_inFlight.end() ? 0 : found->second;
-    };
-    return busy(second) < busy(first) ? second : first;
+    for (const auto& [pool, members] : serving)
+        m_pools.try_emplace(pool);
+    for (auto& [pool, view] : m_pools)
+        update(view, serving[pool]);
+}
+
+void member_picker::update(pool_view& pool, const std::map<instance_id, const member_route*>& serving)
+{
+    const auto now = m_now();
+    const bool isFirst = !pool.view;
+    if (isFirst) {
+        load_view_settings settings;
+        settings.zone = m_zone;
+        pool.view = std::make_unique<load_view>(m_random, settings);
+    }
+    std::erase_if(pool.members, [&](const auto& entry) {
+        const auto found = serving.find(entry.first);
+        const bool isGone = found == serving.end() || found->second->self != entry.second;
+        if (isGone)
+            pool.view->remove(entry.first);
+        return isGone;
+    });
+    for (const auto& [id, route] : serving) {
+        // Members that served before this node saw them are warm.
+        if (pool.members.try_emplace(id, route->self).second)
+            pool.view->add(id, route->availabilityZone, !isFirst, now);
+    }
+}
+
+std::optional<instance_ref> member_picker::pick(const std::string& pool, const instance_id& avoid)
+{
+    const auto known = m_pools.find(pool);
+    if (known == m_pools.end())
+        return std::nullopt;
+    pick_options options;
+    if (!avoid.empty())
+        options.excluded = { avoid };
+    auto picked = known->second.view->pick(options, m_now());
+    // The member that failed last is still better than none.
+    if (!picked && !avoid.empty())
+        picked = known->second.view->pick({}, m_now());
+    if (!picked)
+        return std::nullopt;
+    return known->second.members.at(*picked);
+}
+
+void member_picker::ended(const instance_ref& member, const call_observation& observation)
+{
+    if (auto* pool = viewOf(member))
+        pool->view->finished(member.id, observation, m_now());
+}
+
+member_picker::pool_view* member_picker::viewOf(const instance_ref& member)
+{
+    for (auto& [name, pool] : m_pools) {
+        const auto found = pool.members.find(member.id);
+        if (found != pool.members.end() && found->second == member)
+            return &pool;
+    }
+    return nullptr;
 }
 
 } // namespace heatherdrift
--- a/src/routing/internal/member_picker.h
+++ b/src/routing/internal/member_picker.h
@@ -1,28 +1,38 @@
 #pragma once
 
+#include "admission/load_view.h"
 #include "routing/entry_router.h"
 
 #include <map>
-#include <random>
+#include <memory>
 
 namespace heatherdrift {
 
-/// Chooses a member of a pool for calls without key ownership: of two random members the one with fewer calls of this
-/// node in progress. Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing" (2001).
+/// Chooses members of pools for calls without key ownership, by what this node has seen of them.
 class member_picker {
 public:
-    explicit member_picker(std::uint64_t seed)
-        : m_random(seed)
-    {
-    }
+    member_picker(instance_id self, clock_function, std::uint64_t seed);
 
     member_choice hooks();
+    /// Members that serve are added to the view of their pool, others removed.
+    void setSnapshot(const routing_snapshot&);
 
 private:
-    std::optional<instance_ref> pick(const routing_snapshot&, const std::string& pool, const instance_id& avoid);
-
-    std::minstd_rand m_random;
-    std::map<instance_ref, int> m_inFlight;
+    struct pool_view {
+        std::unique_ptr<load_view> view;
+        std::map<instance_id, instance_ref> members;
+    };
+
+    std::optional<instance_ref> pick(const std::string& pool, const instance_id& avoid);
+    void ended(const instance_ref&, const call_observation&);
+    void update(pool_view&, const std::map<instance_id, const member_route*>& serving);
+    pool_view* viewOf(const instance_ref&);
+
+    instance_id m_self;
+    clock_function m_now;
+    random_function m_random;
+    std::string m_zone;
+    std::map<std::string, pool_view> m_pools;
 };
 
 } // namespace heatherdrift
--- a/src/routing/internal/request_task.cpp
+++ b/src/routing/internal/request_task.cpp
@@ -28,7 +28,7 @@
 
     incarnation_parts(request_task& task, const instance_ref& process)
         : self(process)
-        , picker(task.m_random())
+        , picker(process.id, task.m_hooks.now, task.m_random())
         , executor(task.m_base, { process, task.m_random(), task.m_settings.once, task.m_settings.requests },
               task.makeExecutorHooks())
         , router(task.m_base, process, task.m_settings.entryLimits, withPicker(task.makeEntryHooks()), executor)
@@ -53,6 +53,7 @@
     , m_random(m_hooks.seed)
     , m_mailbox(base,
           [this](const to_request_task& message) { std::visit([this](const auto& value) { on(value); }, message); })
+    , m_retries(m_hooks.now())
     , m_sample(base, [this] { sample(); })
 {
     m_sample.startRepeating(sampleInterval);
@@ -147,6 +148,7 @@
     m_snapshot = message.snapshot;
     m_parts->executor.setSnapshot(m_snapshot);
     m_parts->forward.setSnapshot(m_snapshot);
+    m_parts->picker.setSnapshot(*m_snapshot);
     m_parts->router.setSnapshot(m_snapshot);
 }
 
@@ -174,7 +176,8 @@
     m_parts->executor.setBackend(
         std::make_unique<backend_link>(m_base, m_backend->address, defaultConnections), *m_backend);
     m_parts->monitor = std::make_unique<backend_monitor>(m_base, m_backend->address, m_hooks.now,
-        [this](bool isAnswering) { m_hooks.toControlTask(backend_state { isAnswering }); });
+        backend_monitor::hooks { [this](bool isAnswering) { m_hooks.toControlTask(backend_state { isAnswering }); },
+            [this](bool isCrashed) { m_parts->executor.backendChecked(isCrashed); } });
 }
 
 void request_task::on(const stop_partition& message)
@@ -199,7 +202,11 @@
         m_parts->executor.startDraining();
 }
 
-void request_task::on(const add_strikes&) { }
+void request_task::on(const add_strikes& message)
+{
+    if (m_parts)
+        m_parts->executor.mergeStrikes(message.strikes);
+}
 
 void request_task::on(const intent_inserted& message)
 {
@@ -215,8 +222,8 @@
 {
     entry_hooks hooks;
     hooks.now = m_hooks.now;
-    hooks.firstAttempt = [] {};
-    hooks.mayRetryNow = [] { return true; };
+    hooks.firstAttempt = [this] { m_retries.recordFirstAttempt(m_hooks.now()); };
+    hooks.mayRetryNow = [this] { return m_retries.tryRetry(m_hooks.now()); };
     hooks.jitter = [this] { return std::uniform_real_distribution<double>(0, 1)(m_random); };
     hooks.spans = m_hooks.spans;
     auto* metrics = m_hooks.metrics;
@@ -249,6 +256,8 @@
         m_intents.emplace(m_nextIntent, std::move(done));
         m_hooks.toControlTask(insert_intent { m_nextIntent++, key, requestId, deadline });
     };
+    hooks.strikes
+        = [this](std::vector<crash_strike> strikes) { m_hooks.toControlTask(new_strikes { std::move(strikes) }); };
     hooks.backendFailed = [this] {
         if (m_parts && m_parts->monitor)
             m_parts->monitor->checkNow();
--- a/src/routing/request_task.h
+++ b/src/routing/request_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/retry_budget.h"
 #include "base/mailbox.h"
 #include "http/http_server.h"
 #include "routing/call_executor.h"
@@ -87,6 +88,7 @@
     routing_snapshot_ptr m_snapshot;
     std::optional<backend_description> m_backend;
     bool m_isDraining = false;
+    retry_budget m_retries;
     std::unique_ptr<incarnation_parts> m_parts;
     std::vector<std::unique_ptr<incarnation_parts>> m_retired; ///< Until their calls have ended.
     std::uint64_t m_nextIntent = 1;
--- a/src/routing/task_messages.h
+++ b/src/routing/task_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/quarantine.h"
 #include "routing/backend_link.h"
 #include "routing/routing_snapshot.h"
 
@@ -42,16 +43,8 @@
     partition_id partition;
 };
 struct start_draining { };
-/// A request fingerprint that was in flight when a backend server crashed.
-struct request_strike {
-    std::uint64_t fingerprint = 0;
-    std::string strikeId;
-    std::int32_t weight = 1;
-
-    bool operator==(const request_strike&) const = default;
-};
 struct add_strikes {
-    std::vector<request_strike> strikes;
+    std::vector<crash_strike> strikes;
 };
 struct intent_inserted {
     std::uint64_t id = 0;
@@ -81,7 +74,7 @@
     int callsInProgress = 0;
 };
 struct new_strikes {
-    std::vector<request_strike> strikes;
+    std::vector<crash_strike> strikes;
 };
 struct insert_intent {
     std::uint64_t id = 0;
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -33,7 +33,7 @@
     /// Time without a renewal after which the first witness starts a takeover.
     duration silenceLimit = std::chrono::seconds(1);
     /// Time for which witnesses tolerate a configuration older than their own.
-    duration staleConfigurationLimit = std::chrono::seconds(3);
+    duration staleConfigurationLimit = std::chrono::seconds(2);
 
     bool operator==(const lease_times&) const = default;
 };
