Test the request path with faults on either side of each hop

Cause: 'not run' and 'at most once' must be shown through the real path. Found: the Transfer-Encoding header of an answer was passed on to the next hop and broke chunked answers of the second hop; the HTTP client now removes hop-by-hop headers.

--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -13,7 +13,7 @@
 
 /// Receives the parts of one answer, on the event loop's thread, never before http_client::start() returns.
 struct http_call_handlers {
-    std::function<void(const http_response_head&)> onHead;
+    std::function<void(const http_response_head&)> onHead; ///< Without hop-by-hop headers.
     std::function<void(std::string_view)> onData;
     /// Called exactly once unless the call is cancelled. Success: the answer is whole. Failure: `not_run` if no byte of
     /// the request was written to the connection (connection_failed, deadline_exceeded, overloaded: no connection
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -43,6 +43,18 @@
         return evhttp_find_header(headers, "Content-Length") || evhttp_find_header(headers, "Transfer-Encoding");
     }
 
+    /// Headers such as Transfer-Encoding have done their work here; passed on, they would contradict the framing of the
+    /// next hop.
+    http_headers withoutHopByHop(const http_headers& headers)
+    {
+        http_headers kept;
+        for (const auto& [name, value] : headers.fields()) {
+            if (!isHopByHopHeader(name))
+                kept.add(name, value);
+        }
+        return kept;
+    }
+
     class evhttp_client;
 
     class evhttp_call : public http_call, public std::enable_shared_from_this<evhttp_call> {
@@ -119,7 +131,7 @@
             }
             if (const auto call = self.m_handlers.onHead)
                 call({ evhttp_request_get_response_code(native),
-                    readHeaders(evhttp_request_get_input_headers(native)) });
+                    withoutHopByHop(readHeaders(evhttp_request_get_input_headers(native))) });
             return 0;
         }
 
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -136,6 +136,21 @@
         EXPECT_EQ(answer.value().body, "body-value");
     }
 
+    // Guards against a Transfer-Encoding header that is passed on to the next hop and contradicts its framing.
+    TEST_F(HttpTest, ChunkedAnswerIsDeliveredWithoutHopByHopHeaders)
+    {
+        auto server = listen([](http_exchange_ptr exchange) {
+            exchange->start({ 200, {} });
+            exchange->sendData("part");
+            exchange->finish();
+        });
+        auto client = http_client::create(base.get(), server->address(), 1);
+        const auto answer = fetchOnce(*client, {});
+        ASSERT_TRUE(answer.has_value());
+        EXPECT_EQ(answer.value().body, "part");
+        EXPECT_FALSE(answer.value().head.headers.find("Transfer-Encoding"));
+    }
+
     struct broken_server {
         const char* name;
         const char* answer;
--- /dev/null
+++ b/src/routing/tests/request_path_test.cpp
@@ -0,0 +1,265 @@
+#include "routing/tests/request_path_fixture.h"
+
+namespace heatherdrift {
+namespace {
+
+    constexpr duration shortTime = std::chrono::milliseconds(200);
+
+    http_headers timeout(const char* milliseconds) { return { { header::timeoutMilliseconds, milliseconds } }; }
+
+    // Guards against an answer that belongs to another caller's request.
+    TEST_F(RequestPathTest, EachCallerGetsItsOwnAnswerThroughAnyNode)
+    {
+        std::vector<std::size_t> sent;
+        for (int i = 0; i < 40; ++i)
+            sent.push_back(send(i % 2 ? "a" : "b", "lookup"));
+        for (const auto index : sent) {
+            const auto answer = wait(index);
+            EXPECT_EQ(verdictOf(answer), "ran");
+            const auto id = std::string(answer.head.headers.find(header::requestId).value_or("-"));
+            EXPECT_EQ(answer.body, "answer to " + id + ".1");
+            EXPECT_EQ(answer.head.headers.find(header::owner), "b#1");
+        }
+        EXPECT_EQ(backends["b"].requests, 40);
+        EXPECT_EQ(backends["a"].requests, 0);
+    }
+
+    // Guards against work started without a valid lease.
+    TEST_F(RequestPathTest, OwnerWithoutALeaseRunsNothing)
+    {
+        setLease("b", boot_clock::now() - std::chrono::seconds(1));
+        for (const auto* node : { "a", "b" }) {
+            const auto answer = request(node, "lookup", timeout("300"));
+            EXPECT_EQ(verdictOf(answer), "not_run");
+        }
+        EXPECT_EQ(backends["b"].requests, 0);
+        const auto waiting = send("a", "lookup");
+        runFor(shortTime);
+        setLease("b", boot_clock::now() + std::chrono::hours(1));
+        EXPECT_EQ(verdictOf(wait(waiting)), "ran");
+    }
+
+    // Guards against calls that fail although their key only changes its owner.
+    TEST_F(RequestPathTest, CallsWaitForTheNewOwner)
+    {
+        setLease("b", boot_clock::now() - std::chrono::seconds(1));
+        const auto waiting = send("a", "lookup");
+        runFor(shortTime);
+        assignAll("a");
+        const auto answer = wait(waiting);
+        EXPECT_EQ(verdictOf(answer), "ran");
+        EXPECT_EQ(answer.head.headers.find(header::owner), "a#1");
+    }
+
+    TEST_F(RequestPathTest, StoppedPartitionRefusesUntilItIsResumed)
+    {
+        for (partition_index i = 0; i < 4; ++i)
+            nodes["b"].task->post(stop_partition { { "p", i } });
+        runUntil([&] { return nodes["b"].sent.size() >= 4; });
+        const auto waiting = send("a", "lookup");
+        runFor(shortTime);
+        EXPECT_EQ(backends["b"].requests, 0);
+        for (partition_index i = 0; i < 4; ++i)
+            nodes["b"].task->post(resume_partition { { "p", i } });
+        EXPECT_EQ(verdictOf(wait(waiting)), "ran");
+    }
+
+    struct backend_fault {
+        const char* name;
+        std::function<void(http_exchange_ptr)> answer;
+        const char* onceVerdict;
+        const char* onceError;
+    };
+
+    // Either side of the point up to which `not_run` can be said. Guards against "not run" for a call that reached the
+    // backend server, and against a second run of a once call.
+    TEST_F(RequestPathTest, FaultsOfTheBackendServer)
+    {
+        const backend_fault faults[] = {
+            { "closes without an answer", [](http_exchange_ptr exchange) { exchange->abort(); }, "may_have_run",
+                "connection_lost" },
+            { "says that it did not run it",
+                [](http_exchange_ptr exchange) {
+                    exchange->respond({ { 409, { { header::verdict, "not_run" } } }, "" });
+                },
+                "not_run", "deadline_exceeded" },
+            { "answers for another request",
+                [](http_exchange_ptr exchange) {
+                    exchange->respond({ { 200, { { header::requestId, "other" } } }, "x" });
+                },
+                "may_have_run", "connection_lost" },
+        };
+        for (const auto& fault : faults) {
+            backends["b"].answer = nullptr;
+            const auto permission = token("a");
+            backends["b"].answer = fault.answer;
+            const int before = backends["b"].requests;
+            auto headers = timeout("400");
+            headers.add(header::token, permission);
+            const auto answer = request("a", "once", headers);
+            EXPECT_EQ(verdictOf(answer), fault.onceVerdict) << fault.name;
+            EXPECT_EQ(errorOf(answer), fault.onceError) << fault.name;
+            if (std::string(fault.onceVerdict) == "may_have_run") {
+                EXPECT_EQ(backends["b"].requests, before + 1) << fault.name;
+            }
+        }
+    }
+
+    TEST_F(RequestPathTest, IdempotentCallIsSentAgainAfterALostAnswer)
+    {
+        backends["b"].answer = [&](http_exchange_ptr exchange) {
+            if (backends["b"].requests == 1)
+                exchange->abort();
+            else
+                exchange->respond({ { 200, {} }, "second" });
+        };
+        const auto answer = request("a", "lookup");
+        EXPECT_EQ(verdictOf(answer), "ran");
+        EXPECT_EQ(answer.body, "second");
+    }
+
+    TEST_F(RequestPathTest, OnceCallRunsOnceAndRepeatsItsAnswer)
+    {
+        http_headers headers { { header::token, token("a") } };
+        const auto first = request("a", "once", headers, "body");
+        EXPECT_EQ(verdictOf(first), "ran");
+        for (const auto* node : { "a", "b" }) {
+            const auto again = request(node, "once", headers, "body");
+            EXPECT_EQ(verdictOf(again), "ran");
+            EXPECT_EQ(again.body, first.body);
+        }
+        EXPECT_EQ(backends["b"].requests, 1);
+        // Guards against the kept answer handed to a request with the same token and another body.
+        const auto other = request("a", "once", headers, "other body");
+        EXPECT_EQ(verdictOf(other), "not_run");
+        EXPECT_EQ(errorOf(other), "bad_request");
+    }
+
+    // Guards against a second run after the key moved: the new owner asks the issuer.
+    TEST_F(RequestPathTest, TokenStaysGoodForOneRunAfterAMove)
+    {
+        http_headers unused { { header::token, token("a") } };
+        http_headers used { { header::token, token("a") } };
+        EXPECT_EQ(verdictOf(request("a", "once", used)), "ran");
+        assignAll("a");
+        EXPECT_EQ(verdictOf(request("b", "once", unused)), "ran");
+        EXPECT_EQ(verdictOf(request("b", "once", unused)), "ran");
+        EXPECT_EQ(backends["a"].requests, 1);
+        const auto again = request("b", "once", used);
+        EXPECT_EQ(verdictOf(again), "ran");
+        EXPECT_EQ(backends["a"].requests, 1);
+        EXPECT_EQ(backends["b"].requests, 1);
+    }
+
+    // Guards against "not run" when nobody can tell any more whether the token was used.
+    TEST_F(RequestPathTest, TokenOfALostIssuerMayHaveRun)
+    {
+        http_headers used { { header::token, token("a") } };
+        EXPECT_EQ(verdictOf(request("a", "once", used)), "ran");
+        startNode("b", 2);
+        assignAll("b");
+        const auto again = request("a", "once", used);
+        EXPECT_EQ(verdictOf(again), "may_have_run");
+        EXPECT_EQ(errorOf(again), "token_stale");
+        EXPECT_EQ(backends["b"].requests, 1);
+    }
+
+    // The owner's node is lost on either side of the point at which the call reaches the backend server.
+    TEST_F(RequestPathTest, OwnersNodeLostBeforeAndAfterTheCallArrives)
+    {
+        const auto permission = token("a");
+        backends["b"].answer = [&](http_exchange_ptr exchange) { backends["b"].held.push_back(std::move(exchange)); };
+        auto headers = timeout("1500");
+        headers.add(header::token, permission);
+        const auto running = send("a", "once", headers);
+        runUntil([&] { return backends["b"].held.size() == 1; });
+        nodes["b"].task.reset();
+        EXPECT_EQ(verdictOf(wait(running)), "may_have_run");
+        const auto refused = request("a", "once", headers);
+        EXPECT_EQ(verdictOf(refused), "not_run");
+        EXPECT_EQ(backends["b"].requests, 1);
+    }
+
+    // Guards against work that goes on for a caller that left.
+    TEST_F(RequestPathTest, CallerThatLeavesCancelsItsWork)
+    {
+        backends["b"].answer = [&](http_exchange_ptr exchange) { backends["b"].held.push_back(std::move(exchange)); };
+        const auto index = send("a", "lookup");
+        runUntil([&] { return backends["b"].held.size() == 1; });
+        calls[index]->cancel();
+        runUntil([&] { return backends["b"].closed == 1; });
+    }
+
+    // Guards against a call that keeps running without ownership, and against a stream that is cut although it needed
+    // ownership only when it started.
+    TEST_F(RequestPathTest, EndOfTheLeaseCancelsOnlyCallsThatNeedOwnershipForTheirRun)
+    {
+        backends["b"].answer = [&](http_exchange_ptr exchange) {
+            backends["b"].held.push_back(exchange);
+            exchange->start({ 200, {} });
+            exchange->sendData("part");
+        };
+        const auto stream = send("a", "stream");
+        runUntil([&] { return backends["b"].held.size() == 1; });
+        backends["b"].answer = [&](http_exchange_ptr exchange) { backends["b"].held.push_back(std::move(exchange)); };
+        const auto lookup = send("a", "lookup", timeout("1000"));
+        runUntil([&] { return backends["b"].held.size() == 2; });
+        setLease("b", boot_clock::now() + std::chrono::milliseconds(50));
+        runUntil([&] { return backends["b"].closed == 1; });
+        EXPECT_EQ(verdictOf(wait(lookup)), "may_have_run");
+        backends["b"].held[0]->sendData(" rest");
+        backends["b"].held[0]->finish();
+        EXPECT_EQ(wait(stream).body, "part rest");
+    }
+
+    // Guards against a hand-over that cuts a stream, or that waits for one.
+    TEST_F(RequestPathTest, HandOverNeitherCutsNorAwaitsStreams)
+    {
+        backends["b"].answer = [&](http_exchange_ptr exchange) {
+            backends["b"].held.push_back(exchange);
+            exchange->start({ 200, {} });
+        };
+        const auto stream = send("a", "stream");
+        runUntil([&] { return backends["b"].held.size() == 1; });
+        for (partition_index i = 0; i < 4; ++i)
+            nodes["b"].task->post(stop_partition { { "p", i } });
+        runUntil([&] { return nodes["b"].sent.size() >= 4; });
+        nodes["b"].task->post(start_draining {});
+        assignAll("a");
+        runFor(shortTime);
+        backends["b"].held[0]->sendData("whole");
+        backends["b"].held[0]->finish();
+        const auto answer = wait(stream);
+        EXPECT_EQ(answer.body, "whole");
+        EXPECT_EQ(verdictOf(answer), "ran");
+    }
+
+    TEST_F(RequestPathTest, CallWithoutOwnershipIsRetriedAtAnotherMember)
+    {
+        nodes["b"].task->post(backend_update { std::nullopt });
+        for (int i = 0; i < 10; ++i)
+            EXPECT_EQ(verdictOf(request("a", "any")), "ran");
+        EXPECT_EQ(backends["a"].requests, 10);
+    }
+
+    TEST_F(RequestPathTest, DrainingInstanceRefusesNewCallsWithoutOwnership)
+    {
+        nodes["b"].task->post(start_draining {});
+        for (int i = 0; i < 10; ++i)
+            EXPECT_EQ(verdictOf(request("b", "any")), "ran");
+        EXPECT_EQ(backends["b"].requests, 0);
+    }
+
+    // Guards against a process that serves on after it was fenced.
+    TEST_F(RequestPathTest, StoppedProcessServesNothingMore)
+    {
+        nodes["b"].task->post(stop_serving { nodes["b"].self });
+        runUntil([&] { return !nodes["b"].sent.empty(); });
+        EXPECT_TRUE(std::holds_alternative<serving_stopped>(nodes["b"].sent.front()));
+        setLease("b", boot_clock::now() + std::chrono::hours(1));
+        EXPECT_EQ(verdictOf(request("a", "lookup", timeout("300"))), "not_run");
+        EXPECT_EQ(backends["b"].requests, 0);
+    }
+
+} // namespace
+} // namespace heatherdrift
