--- a/src/store/page_row.h
+++ b/src/store/page_row.h
@@ -23,15 +23,26 @@
     bool operator==(const page_entry&) const = default;
 };
 
+/// A key that has a hot partition although its hash belongs to an ordinary one, with the epoch at which it got it.
+struct isolated_key {
+    std::string key;
+    epoch number = 0;
+
+    bool operator==(const isolated_key&) const = default;
+};
+
 /// Row of the table "pages": the assignments of partitionsPerPage consecutive partitions of a pool (fewer if the pool
 /// has fewer). Entry i belongs to partition number * partitionsPerPage + i.
 struct page_row {
     std::string pool;
     std::uint32_t number = 0;
     std::vector<page_entry> entries;
-    /// Keys of the hot partitions, in the order of the entries; empty on other pages.
+    /// Keys of the hot partitions, in the order of the entries, with an empty key for each unused one; empty on other
+    /// pages.
     std::vector<std::string> hotKeys;
     std::string operationId; ///< Of the last write of the row.
+    /// Keys of the page's partitions that have a hot partition; empty on the page of the hot partitions.
+    std::vector<isolated_key> isolatedKeys;
 
     partition_index firstPartition() const { return number * partitionsPerPage; }
     bool operator==(const page_row&) const = default;
