Add the admission module (first state)

Cause: the executor needs its policies. Change: admission queue, classes, limits, budgets, load view, quarantine.

--- /dev/null
+++ b/src/admission/backend_admission.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "admission/adaptive_limit.h"
+#include "admission/admission_queue.h"
+#include "admission/quarantine.h"
+#include "admission/request_classifier.h"
+#include "admission/service_time_estimate.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace heatherdrift {
+
+/// A call that asks to run on the backend server.
+struct admission_call {
+    std::uint64_t id = 0; ///< Unique among the calls that wait or run.
+    work_kind kind;
+    call_length configured = call_length::short_call; ///< By its selector.
+    int priority = 5; ///< 0 to 9.
+    std::string customer;
+    time_point deadline {};
+    request_fingerprint fingerprint = 0;
+
+    bool operator==(const admission_call&) const = default;
+};
+
+/// How a running call ended.
+enum class admission_end {
+    answered,
+    shed, ///< The backend server refused it because of its load.
+    cancelled, ///< By its caller or at its deadline.
+    failed, ///< Without an answer, for example by a crash.
+};
+
+/// Settings of backend_admission.
+struct backend_admission_settings {
+    admission_settings queue;
+    classifier_settings classes; ///< Its short limit replaces the queue's.
+    service_time_defaults serviceTimes;
+    quarantine_settings crashes;
+    adaptive_limit_settings adaptive;
+    bool adaptsLimit = false;
+    std::size_t mostWaitingSuspects = 64;
+};
+
+/// Replaceable rules; an empty function means the default rule.
+struct backend_admission_hooks {
+    std::function<call_length(const work_kind&, call_length configured)> classify;
+    std::function<service_quantiles(const work_kind&, call_length, time_point now)> estimate;
+    admission_hooks queue;
+};
+
+/// The admission to one backend server: class, service time, quarantine, queue and limit of each call. Each submitted
+/// call leaves exactly once: by an action or by cancel().
+class backend_admission {
+public:
+    explicit backend_admission(const backend_admission_settings&, backend_admission_hooks = {});
+    backend_admission(const backend_admission&) = delete;
+    backend_admission& operator=(const backend_admission&) = delete;
+
+    /// The call waits if no action names it.
+    admission_actions submit(const admission_call&, time_point now);
+    /// A running call ended. Unknown ids are ignored.
+    admission_actions finish(std::uint64_t id, admission_end, time_point now);
+    /// Removes a waiting call; false if it does not wait.
+    bool cancel(std::uint64_t id, time_point now);
+    /// To be called at nextEvent().
+    admission_actions advance(time_point now);
+    time_point nextEvent(time_point now) const;
+    /// The backend server announced its number of slots.
+    admission_actions setSlots(int slots, time_point now);
+
+    /// The backend server crashed; returns the strikes against the running calls for the other nodes. The calls must
+    /// still be reported to finish().
+    std::vector<crash_strike> crashed(std::string_view crashId, time_point now);
+    void merge(const std::vector<crash_strike>& strikes) { m_quarantine.merge(strikes); }
+
+    const admission_queue& queue() const { return m_queue; }
+
+private:
+    struct call_state {
+        work_kind kind;
+        call_length configured = call_length::short_call;
+        call_length length = call_length::short_call;
+        request_fingerprint fingerprint = 0;
+        bool isIsolated = false;
+        bool isRunning = false;
+        bool isClassObserved = false;
+        time_point startedAt {};
+    };
+
+    admission_hooks queueHooks(admission_hooks);
+    void enter(const admission_call&, bool isIsolated, admission_actions&, time_point now);
+    void addSuspect(const admission_call&, admission_actions&);
+    void startSuspects(admission_actions&, time_point now);
+    void expireSuspects(admission_actions&, time_point now);
+    void note(const admission_actions&, time_point now);
+    void release(std::uint64_t id, bool answered, time_point now);
+    void observe(call_state&, admission_end, time_point now);
+    void observeClass(call_state&, duration used, time_point now);
+    admission_actions settle(admission_actions, time_point now);
+
+    backend_admission_settings m_settings;
+    backend_admission_hooks m_hooks;
+    request_classifier m_classifier;
+    service_time_estimate m_estimate;
+    quarantine m_quarantine;
+    adaptive_limit m_limit;
+    admission_queue m_queue;
+    std::unordered_map<std::uint64_t, call_state> m_calls; // In the queue or running.
+    std::deque<admission_call> m_suspects; // Waiting for their isolated run, in order of arrival.
+};
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/admission/internal/load_view.cpp
@@ -0,0 +1,251 @@
+#include "admission/load_view.h"
+
+#include "admission/seconds.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace heatherdrift {
+
+namespace {
+
+    // Latency assumed while no server was observed; only relative costs matter.
+    constexpr double priorLatency = 0.005;
+    // Own calls that make own observation count against a report.
+    constexpr double contradictingCalls = 3;
+    // Cost factor of a server that refuses every call. A refusal is cheap, but a retry elsewhere follows.
+    constexpr double refusalPenalty = 4;
+    // A server that fails every call costs ten times its latency until it is ejected.
+    constexpr double mostFailureShare = 0.9;
+    // Costs within this factor count as equal, or an idle pool would send all calls to the server that is faster by a
+    // hair.
+    constexpr double equalCosts = 1.1;
+    constexpr int mostDraws = 16;
+
+    double failurePenalty(double share) { return 1 / (1 - std::min(share, mostFailureShare)); }
+
+    bool isExcluded(const pick_options& options, const instance_id& id)
+    {
+        return std::ranges::find(options.excluded, id) != options.excluded.end();
+    }
+
+} // namespace
+
+load_view::load_view(random_function random, const load_view_settings& settings)
+    : m_random(std::move(random))
+    , m_settings(settings)
+    , m_outliers(settings.outliers)
+    , m_poolLatency(settings.memory)
+{
+}
+
+void load_view::add(const instance_id& id, const std::string& zone, bool isCold, time_point now)
+{
+    if (find(id))
+        return;
+    const auto startedAt = isCold ? now : now - m_settings.slowStart.ramp;
+    m_servers.push_back({ .id = id,
+        .zone = zone,
+        .warmUp = slow_start(startedAt, m_settings.slowStart),
+        .latency = decaying_average(m_settings.memory),
+        .failures = decaying_average(m_settings.memory),
+        .refusals = decaying_average(m_settings.memory),
+        .lastReport = std::nullopt });
+    m_outliers.add(id, now);
+    rebuildIndex();
+}
+
+void load_view::remove(const instance_id& id)
+{
+    std::erase_if(m_servers, [&](const server& one) { return one.id == id; });
+    m_outliers.remove(id);
+    rebuildIndex();
+}
+
+void load_view::report(const instance_id& id, const server_report& report)
+{
+    const auto found = m_positions.find(id);
+    if (found == m_positions.end())
+        return;
+    m_servers[found->second].lastReport = report;
+    countUnhealthyReports();
+}
+
+// Two candidates and the better one of them: the longest queue stays exponentially shorter than with one random choice,
+// and unlike with the best of all, nodes that share old observations do not all pick the same server (Mitzenmacher,
+// "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 12, 2001).
+std::optional<instance_id> load_view::pick(const pick_options& options, time_point now)
+{
+    if (auto probe = dueProbe(options, now))
+        return probe;
+    // The first candidate is from the own zone if there is one; the other one keeps the zone from being overloaded.
+    auto first = draw(m_sameZone, options, std::nullopt, now);
+    const double zoneTolerance = first ? m_settings.zoneTolerance : equalCosts;
+    if (!first)
+        first = draw(m_all, options, std::nullopt, now);
+    if (!first)
+        return lastResort(options, now);
+    const auto second = draw(m_all, options, first, now);
+    if (!second)
+        return m_servers[*first].id;
+    const bool isSameZone = m_servers[*second].zone == m_servers[*first].zone;
+    const double limit = costOf(m_servers[*second], now) * (isSameZone ? equalCosts : zoneTolerance);
+    return m_servers[costOf(m_servers[*first], now) <= limit ? *first : *second].id;
+}
+
+void load_view::started(const instance_id& id, time_point now)
+{
+    const auto found = m_positions.find(id);
+    if (found == m_positions.end())
+        return;
+    ++m_servers[found->second].inFlight;
+    if (m_outliers.condition(id, now) == server_condition::probing)
+        m_outliers.startProbe(id, now);
+}
+
+void load_view::finished(const instance_id& id, const call_observation& observation, time_point now)
+{
+    const auto found = m_positions.find(id);
+    if (found == m_positions.end())
+        return;
+    auto& server = m_servers[found->second];
+    server.inFlight = std::max(server.inFlight - 1, 0);
+    using kind = call_observation::kind;
+    if (observation.outcome == kind::cancelled)
+        return;
+    server.refusals.add(observation.outcome == kind::refused ? 1 : 0, now);
+    if (observation.outcome == kind::refused)
+        return;
+    server.failures.add(observation.outcome == kind::failure ? 1 : 0, now);
+    if (observation.outcome == kind::failure) {
+        m_outliers.observeFailure(id, now);
+        return;
+    }
+    if (observation.latency) {
+        server.latency.add(inSeconds(*observation.latency), now);
+        m_poolLatency.add(inSeconds(*observation.latency), now);
+    }
+    if (m_outliers.observeSuccess(id, now)) {
+        server.warmUp = slow_start(now, m_settings.slowStart);
+        server.failures = decaying_average(m_settings.memory);
+    }
+}
+
+double load_view::cost(const instance_id& id, time_point now) const
+{
+    const auto* server = find(id);
+    return server ? costOf(*server, now) : 0;
+}
+
+const load_view::server* load_view::find(const instance_id& id) const
+{
+    const auto found = m_positions.find(id);
+    return found == m_positions.end() ? nullptr : &m_servers[found->second];
+}
+
+double load_view::costOf(const server& one, time_point now) const
+{
+    // Without recent calls a server's latency returns to that of the pool, so that it is tried again.
+    const double latency = one.latency.value(m_poolLatency.value(priorLatency, now), now);
+    return latency * (one.inFlight + 1) * failurePenalty(one.failures.value(0, now))
+        * (1 + refusalPenalty * one.refusals.value(0, now)) * (1 + reportedLoad(one, now));
+}
+
+bool load_view::isEligible(const server& one, const pick_options& options, time_point now) const
+{
+    return !isExcluded(options, one.id) && m_outliers.condition(one.id, now) == server_condition::in_service
+        && !isReportedUnhealthy(one, now);
+}
+
+// Own observation counts above a report. If half of the servers say that they are unhealthy, the reports are more
+// likely wrong than the servers.
+bool load_view::isReportedUnhealthy(const server& one, time_point now) const
+{
+    if (!one.lastReport || one.lastReport->isHealthy || now - one.lastReport->at > m_settings.mostReportAge)
+        return false;
+    if (2 * m_unhealthyReports >= m_servers.size())
+        return false;
+    const bool answersItself = one.failures.weight(now) >= contradictingCalls && one.failures.value(0, now) < 0.5;
+    return !answersItself;
+}
+
+double load_view::reportedLoad(const server& one, time_point now) const
+{
+    if (!one.lastReport || now - one.lastReport->at > m_settings.mostReportAge)
+        return 0;
+    const double load = std::clamp(one.lastReport->load, 0.0, 1.0);
+    const bool refuses = one.refusals.value(0, now) > 0.1;
+    if (refuses)
+        return 1; // Whatever load it reports.
+    const double poolLatency = m_poolLatency.value(priorLatency, now);
+    const bool isFast
+        = one.latency.weight(now) >= contradictingCalls && one.latency.value(poolLatency, now) <= poolLatency;
+    return isFast ? 0 : load;
+}
+
+// Draws at random, each server in proportion to its slow start, so that a cold one is found less often. A full scan
+// from a random position follows only if most draws hit servers that cannot be used.
+std::optional<load_view::position> load_view::draw(
+    const std::vector<position>& from, const pick_options& options, std::optional<position> except, time_point now)
+{
+    if (from.empty())
+        return std::nullopt;
+    const auto random = [&] { return static_cast<std::size_t>(m_random() * static_cast<double>(from.size())); };
+    const auto isUsable = [&](position one) { return one != except && isEligible(m_servers[one], options, now); };
+    for (int count = 0; count < mostDraws; ++count) {
+        const auto drawn = from[random()];
+        if (m_random() < m_servers[drawn].warmUp.share(now) && isUsable(drawn))
+            return drawn;
+    }
+    const auto offset = random();
+    for (std::size_t step = 0; step < from.size(); ++step) {
+        const auto candidate = from[(offset + step) % from.size()];
+        if (isUsable(candidate))
+            return candidate;
+    }
+    return std::nullopt;
+}
+
+// A server that only says that it is unhealthy is better than none.
+std::optional<instance_id> load_view::lastResort(const pick_options& options, time_point now) const
+{
+    const auto found = std::ranges::find_if(m_servers, [&](const server& one) {
+        return !isExcluded(options, one.id) && condition(one.id, now) == server_condition::in_service;
+    });
+    if (found == m_servers.end())
+        return std::nullopt;
+    return found->id;
+}
+
+std::optional<instance_id> load_view::dueProbe(const pick_options& options, time_point now)
+{
+    if (!options.mayProbe || m_outliers.outOfService() == 0)
+        return std::nullopt;
+    const auto found = std::ranges::find_if(m_servers,
+        [&](const server& one) { return m_outliers.isProbeDue(one.id, now) && !isExcluded(options, one.id); });
+    if (found == m_servers.end())
+        return std::nullopt;
+    return found->id;
+}
+
+void load_view::rebuildIndex()
+{
+    m_positions.clear();
+    m_sameZone.clear();
+    m_all.resize(m_servers.size());
+    std::iota(m_all.begin(), m_all.end(), position { 0 });
+    for (const auto index : m_all) {
+        m_positions[m_servers[index].id] = index;
+        if (m_servers[index].zone == m_settings.zone)
+            m_sameZone.push_back(index);
+    }
+    countUnhealthyReports();
+}
+
+void load_view::countUnhealthyReports()
+{
+    m_unhealthyReports = static_cast<std::size_t>(std::ranges::count_if(
+        m_servers, [](const server& one) { return one.lastReport && !one.lastReport->isHealthy; }));
+}
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/admission/internal/waiting_calls.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "admission/admission_request.h"
+
+#include <array>
+#include <boost/multi_index/composite_key.hpp>
+#include <boost/multi_index/hashed_index.hpp>
+#include <boost/multi_index/mem_fun.hpp>
+#include <boost/multi_index/member.hpp>
+#include <boost/multi_index/ordered_index.hpp>
+#include <boost/multi_index/ranked_index.hpp>
+#include <boost/multi_index_container.hpp>
+
+namespace heatherdrift {
+
+struct waiting_call {
+    admission_request request;
+    time_point enqueuedAt {};
+    time_point leaveBy {}; ///< Last time at which it may still start.
+
+    std::uint64_t id() const { return request.id; }
+    std::size_t level() const { return request.level.index(); }
+    const std::string& customer() const { return request.customer; }
+    time_point deadline() const { return request.deadline; }
+};
+
+/// Calls that wait for a slot. Lookups and changes take O(log n).
+class waiting_calls {
+public:
+    void insert(waiting_call);
+    /// Removes and returns the call; empty if it does not wait.
+    std::optional<waiting_call> take(std::uint64_t id);
+
+    /// The customer's call with the earliest or the latest deadline at the level, or null.
+    const waiting_call* first(admission_level, const std::string& customer) const;
+    const waiting_call* last(admission_level, const std::string& customer) const;
+    /// The call that must leave first, or null.
+    const waiting_call* nextToLeave() const;
+
+    /// Number of the customer's calls at the level that have an earlier deadline or the same.
+    std::size_t countBefore(admission_level, const std::string& customer, time_point deadline) const;
+    std::size_t count(admission_level level) const { return m_counts[level.index()]; }
+    std::size_t count(call_length) const;
+    std::size_t countAbove(admission_level) const;
+    /// Highest or lowest priority among the waiting calls of the class.
+    std::optional<admission_level> highest(call_length) const;
+    std::optional<admission_level> lowest(call_length) const;
+
+private:
+    using by_id = boost::multi_index::const_mem_fun<waiting_call, std::uint64_t, &waiting_call::id>;
+    using by_order = boost::multi_index::composite_key<waiting_call,
+        boost::multi_index::const_mem_fun<waiting_call, std::size_t, &waiting_call::level>,
+        boost::multi_index::const_mem_fun<waiting_call, const std::string&, &waiting_call::customer>,
+        boost::multi_index::const_mem_fun<waiting_call, time_point, &waiting_call::deadline>, by_id>;
+    using indices = boost::multi_index::indexed_by<boost::multi_index::hashed_unique<by_id>,
+        boost::multi_index::ranked_unique<by_order>,
+        boost::multi_index::ordered_non_unique<
+            boost::multi_index::member<waiting_call, time_point, &waiting_call::leaveBy>>>;
+
+    boost::multi_index_container<waiting_call, indices> m_calls;
+    std::array<std::size_t, levelCount> m_counts {};
+};
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/admission/retry_budget.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/clock.h"
+
+namespace heatherdrift {
+
+/// Settings of retry_budget; see docs/admission.md.
+struct retry_budget_settings {
+    double share = 0.1; ///< Retries allowed per first attempt.
+    double floorPerSecond = 1; ///< Retries allowed per second without regard to first attempts.
+    double most = 100; ///< Retries that can be saved up.
+
+    bool operator==(const retry_budget_settings&) const = default;
+};
+
+/// Token bucket that bounds retries to a share of the first attempts, so that retries cannot multiply an overload.
+class retry_budget {
+public:
+    explicit retry_budget(time_point now, const retry_budget_settings& = {});
+
+    void recordFirstAttempt(time_point now);
+    /// Takes the permission for one retry; false if the budget is spent.
+    bool tryRetry(time_point now);
+    /// Retries allowed now.
+    double balance(time_point now) const;
+
+private:
+    void refill(time_point now, double tokens);
+
+    retry_budget_settings m_settings;
+    double m_tokens;
+    time_point m_filledAt;
+};
+
+} // namespace heatherdrift
