--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -17,6 +17,8 @@
     virtual ~http_exchange() = default;
 
     virtual const http_request& request() const = 0;
+    /// Whether this is the first request on its connection.
+    virtual bool isFirstOnConnection() const = 0;
     /// False once the client is gone or the answer is complete; sending is then without effect.
     virtual bool isOpen() const = 0;
 
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -6,6 +6,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <set>
 #include <sys/socket.h>
 
 namespace heatherdrift {
@@ -24,8 +25,10 @@
 
     class evhttp_exchange : public http_exchange, public std::enable_shared_from_this<evhttp_exchange> {
     public:
-        explicit evhttp_exchange(evhttp_request* native)
+        evhttp_exchange(evhttp_request* native, bool isFirstOnConnection, int idleTimeoutSeconds)
             : m_native(native)
+            , m_isFirstOnConnection(isFirstOnConnection)
+            , m_idleTimeout { idleTimeoutSeconds, 0 }
         {
             m_request.method = toMethod(evhttp_request_get_command(native));
             if (const auto* uri = evhttp_request_get_uri(native))
@@ -50,12 +53,15 @@
             bufferevent_getcb(stream, &onRead, &onWrite, &onEvent, &argument);
             bufferevent_setcb(stream, nullptr, onWrite, onEvent, argument);
             bufferevent_setwatermark(stream, EV_READ, 0, pipelinedBytes);
+            // A client sends nothing while it receives an answer, which may take longer than the idle timeout.
+            bufferevent_set_timeouts(stream, nullptr, &m_idleTimeout);
             bufferevent_enable(stream, EV_READ);
             evhttp_connection_set_closecb(
                 evhttp_request_get_connection(m_native), &evhttp_exchange::connectionClosed, this);
         }
 
         const http_request& request() const override { return m_request; }
+        bool isFirstOnConnection() const override { return m_isFirstOnConnection; }
         bool isOpen() const override { return m_native; }
 
         void respond(http_response response) override
@@ -127,6 +133,7 @@
             auto* stream = connectionStream();
             bufferevent_disable(stream, EV_READ);
             bufferevent_setwatermark(stream, EV_READ, 0, 0);
+            bufferevent_set_timeouts(stream, &m_idleTimeout, &m_idleTimeout);
             evhttp_connection_set_closecb(evhttp_request_get_connection(m_native), nullptr, nullptr);
             return std::exchange(m_native, nullptr);
         }
@@ -154,6 +161,8 @@
 
         http_request m_request;
         evhttp_request* m_native;
+        bool m_isFirstOnConnection;
+        timeval m_idleTimeout;
         std::function<void()> m_onDrained;
         std::function<void()> m_onClosed;
     };
@@ -162,6 +171,7 @@
     public:
         evhttp_server(event_base* base, const http_server_limits& limits, http_handler handler)
             : m_handler(std::move(handler))
+            , m_idleTimeoutSeconds(limits.idleTimeoutSeconds)
             , m_native(evhttp_new(base))
         {
             evhttp_set_allowed_methods(m_native.get(), allowedMethods);
@@ -169,6 +179,7 @@
             evhttp_set_max_body_size(m_native.get(), static_cast<ev_ssize_t>(limits.bodyBytes));
             evhttp_set_timeout(m_native.get(), limits.idleTimeoutSeconds);
             evhttp_set_gencb(m_native.get(), &evhttp_server::handle, this);
+            evhttp_set_bevcb(m_native.get(), &evhttp_server::createStream, this);
         }
 
         bool bind(const endpoint& address)
@@ -191,19 +202,33 @@
         }
 
     private:
+        /// Called for each new connection. A stream stays in the set until its first request; the address of a stream
+        /// that was closed before is used again only after another call of this function.
+        static bufferevent* createStream(event_base* base, void* argument)
+        {
+            auto* stream = bufferevent_socket_new(base, -1, 0);
+            static_cast<evhttp_server*>(argument)->m_unusedStreams.insert(stream);
+            return stream;
+        }
+
         static void handle(evhttp_request* native, void* argument)
         {
+            auto& self = *static_cast<evhttp_server*>(argument);
             // evhttp reports a malformed request without a target; it has chosen the status already.
             if (!evhttp_request_get_uri(native)) {
                 evhttp_send_error(native, HTTP_BADREQUEST, nullptr);
                 return;
             }
-            auto exchange = std::make_shared<evhttp_exchange>(native);
+            auto* stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(native));
+            const bool isFirst = self.m_unusedStreams.erase(stream) > 0;
+            auto exchange = std::make_shared<evhttp_exchange>(native, isFirst, self.m_idleTimeoutSeconds);
             exchange->watchConnection();
-            static_cast<evhttp_server*>(argument)->m_handler(std::move(exchange));
+            self.m_handler(std::move(exchange));
         }
 
         http_handler m_handler;
+        int m_idleTimeoutSeconds;
+        std::set<const bufferevent*> m_unusedStreams;
         std::unique_ptr<evhttp, evhttp_deleter> m_native;
         evhttp_bound_socket* m_socket = nullptr;
         endpoint m_address;
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -188,6 +188,22 @@
         EXPECT_EQ(requests, 2);
     }
 
+    // Guards against a connection's cost charged to each request, or to none.
+    TEST_F(HttpTest, TellsTheFirstRequestOfAConnection)
+    {
+        std::vector<bool> seen;
+        auto server = listen([&](http_exchange_ptr exchange) {
+            seen.push_back(exchange->isFirstOnConnection());
+            exchange->respond({});
+        });
+        for (int i = 0; i < 2; ++i) {
+            auto client = http_client::create(base.get(), server->address(), 1);
+            ASSERT_TRUE(fetchOnce(*client, {}).has_value());
+            ASSERT_TRUE(fetchOnce(*client, {}).has_value());
+        }
+        EXPECT_EQ(seen, (std::vector<bool> { true, false, true, false }));
+    }
+
     // Guards against `not_run` for a request that was written, and `may_have_run` for one that was not.
     TEST_F(HttpTest, RefusedConnectionIsNotRun)
     {
@@ -412,6 +428,56 @@
         bufferevent_free(stream);
     }
 
+    // Guards against a long download that is cut off because its client sends nothing meanwhile, and against a
+    // connection that is never closed once it is idle. Waits for 2 s and then for the idle timeout of 1 s.
+    TEST_F(HttpTest, IdleTimeoutSparesAnswersInProgress)
+    {
+        http_exchange_ptr held;
+        http_server_limits limits;
+        limits.idleTimeoutSeconds = 1;
+        auto server = listen(
+            [&](http_exchange_ptr exchange) {
+                held = std::move(exchange);
+                held->start({ 200, { { "Content-Length", "8" } } });
+                held->sendData("half");
+            },
+            limits);
+        auto client = http_client::create(base.get(), server->address(), 1);
+        std::optional<result<void>> outcome;
+        http_call_handlers handlers;
+        handlers.onDone = [&](result<void> how) { outcome = how; };
+        client->start({}, farDeadline(), handlers);
+        timer finish(base.get(), [&] {
+            held->sendData("half");
+            held->finish();
+        });
+        finish.startOnce(std::chrono::seconds(2));
+        runUntil([&] { return outcome.has_value(); });
+        EXPECT_TRUE(outcome->has_value());
+        bool isClosed = false;
+        auto* stream = bufferevent_socket_new(base.get(), -1, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(
+            stream, nullptr, nullptr,
+            [](bufferevent*, short what, void* argument) {
+                if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+                    *static_cast<bool*>(argument) = true;
+            },
+            &isClosed);
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        bufferevent_write(stream, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 27);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server->address().port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        held = nullptr;
+        bufferevent_socket_connect(stream, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        runUntil([&] { return held != nullptr; });
+        held->sendData("half");
+        held->finish();
+        runUntil([&] { return isClosed; });
+        bufferevent_free(stream);
+    }
+
     TEST_F(HttpTest, ListeningTwiceOnAnAddressFails)
     {
         auto server = listen([](http_exchange_ptr exchange) { exchange->respond({}); });
