--- a/src/assignment/slow_start.h
+++ b/src/assignment/capacity_ramp.h
@@ -7,16 +7,16 @@
 
 namespace heatherdrift {
 
-struct slow_start_options {
+struct capacity_ramp_options {
     double firstShare = 0.1; ///< Share of its capacity that a new member may fill at once.
     duration length = std::chrono::seconds(60); ///< Until it may fill all of it.
 };
 
 /// Remembers when this node first saw each member active, by its own clock. Members that are active when the node
 /// starts count as warm.
-class slow_start {
+class capacity_ramp {
 public:
-    explicit slow_start(slow_start_options options = {})
+    explicit capacity_ramp(capacity_ramp_options options = {})
         : m_options(options)
     {
     }
@@ -32,7 +32,7 @@
         time_point end;
     };
 
-    slow_start_options m_options;
+    capacity_ramp_options m_options;
     bool m_hasMembers = false;
     std::map<instance_ref, ramp_times> m_members;
 };
--- a/src/assignment/internal/slow_start.cpp
+++ b/src/assignment/internal/capacity_ramp.cpp
@@ -1,10 +1,10 @@
-#include "assignment/slow_start.h"
+#include "assignment/capacity_ramp.h"
 
 #include <algorithm>
 
 namespace heatherdrift {
 
-void slow_start::onMembers(const member_map& members, time_point now)
+void capacity_ramp::onMembers(const member_map& members, time_point now)
 {
     std::map<instance_ref, ramp_times> next;
     for (const auto& [id, member] : members) {
@@ -18,7 +18,7 @@
     m_members = std::move(next);
 }
 
-double slow_start::ramp(const instance_ref& instance, time_point now) const
+double capacity_ramp::ramp(const instance_ref& instance, time_point now) const
 {
     const auto found = m_members.find(instance);
     if (found == m_members.end())
--- a/src/control/internal/assignment_driver.cpp
+++ b/src/control/internal/assignment_driver.cpp
@@ -45,7 +45,7 @@
 
 ramp_function assignment_driver::rampAt(time_point now) const
 {
-    return [this, now](const instance_ref& member) { return m_slowStart.ramp(member, now); };
+    return [this, now](const instance_ref& member) { return m_capacityRamp.ramp(member, now); };
 }
 
 const pool_configuration* assignment_driver::ownPool() const
@@ -61,7 +61,7 @@
         return;
     if (m_context.view.revision() != m_seenRevision) {
         m_seenRevision = m_context.view.revision();
-        m_slowStart.onMembers(m_context.view.members(), now);
+        m_capacityRamp.onMembers(m_context.view.members(), now);
         m_nextRepair = now;
     }
     if (now >= m_nextRepair) {
--- a/src/control/internal/assignment_driver.h
+++ b/src/control/internal/assignment_driver.h
@@ -5,7 +5,7 @@
 #include "assignment/heavy_hitters.h"
 #include "assignment/hot_key_policy.h"
 #include "assignment/placement.h"
-#include "assignment/slow_start.h"
+#include "assignment/capacity_ramp.h"
 #include "control/internal/control_context.h"
 #include "control/internal/move_driver.h"
 #include "control/internal/page_writer.h"
@@ -59,7 +59,7 @@
     takeover_driver& m_takeovers;
     move_driver& m_moves;
     instance_ref m_self;
-    slow_start m_slowStart;
+    capacity_ramp m_capacityRamp;
     std::map<std::string, repair_schedule> m_schedules;
     std::map<std::string, pool_work> m_pools;
     load_sample m_load;
--- a/src/store/internal/member_row.cpp
+++ b/src/store/internal/member_row.cpp
@@ -95,6 +95,7 @@
     json document {
         { "id", row.self.id },
         { "incarnation", row.self.number },
+        { "first_at_address", row.firstAtAddress },
         { "state", toString(row.state) },
         { "region", row.region },
         { "zone", row.availabilityZone },
@@ -121,6 +122,7 @@
     member_row row;
     readName(reader, "id", row.self.id);
     reader.readInteger("incarnation", row.self.number, { 1, INT64_MAX });
+    reader.readInteger("first_at_address", row.firstAtAddress, { 0, INT64_MAX });
     readState(reader, row.state);
     readName(reader, "region", row.region);
     readName(reader, "zone", row.availabilityZone);
--- a/src/store/internal/page_row.cpp
+++ b/src/store/internal/page_row.cpp
@@ -64,11 +64,23 @@
         const bool isHotPage = row.number == hotPageNumber;
         if (row.hotKeys.size() != (isHotPage ? row.entries.size() : 0) || row.hotKeys.size() > maximumHotKeys)
             return unreadable("hot_keys", "expected one key per entry of the hot page");
-        if (std::set<std::string>(row.hotKeys.begin(), row.hotKeys.end()).size() != row.hotKeys.size())
-            return unreadable("hot_keys", "a key is named twice");
+        std::set<std::string> known;
+        for (const auto& key : row.hotKeys) {
+            if (!key.empty() && !known.insert(key).second)
+                return unreadable("hot_keys", "a key is named twice");
+        }
         return outcome::success();
     }
 
+    /// Parses [key, epoch of its hot partition].
+    result<isolated_key> parseIsolatedKey(const json& value, const std::string& path)
+    {
+        if (!value.is_array() || value.size() != 2 || !value[1].is_number_unsigned())
+            return unreadable(path, "expected a key and an epoch");
+        BOOST_OUTCOME_TRY(key, parseHotKey(value[0], path));
+        return isolated_key { key, value[1].get<epoch>() };
+    }
+
     /// Fills the entries from the instances, so it must be read after them.
     void readEntries(json_reader& reader, page_row& row)
     {
@@ -109,9 +121,13 @@
     auto hotKeys = json::array();
     for (const auto& key : row.hotKeys)
         hotKeys.push_back(percentEncode(key));
+    auto isolatedKeys = json::array();
+    for (const auto& isolated : row.isolatedKeys)
+        isolatedKeys.push_back({ percentEncode(isolated.key), isolated.number });
     const json document {
         { "pool", row.pool },
         { "page", row.number },
+        { "isolated_keys", std::move(isolatedKeys) },
         { "instances", instances.list() },
         { "entries", std::move(entries) },
         { "hot_keys", std::move(hotKeys) },
@@ -133,6 +149,11 @@
         row.hotKeys.push_back(key);
         return outcome::success();
     });
+    reader.readArray("isolated_keys", [&](const json& value, const std::string& path) -> result<void> {
+        BOOST_OUTCOME_TRY(isolated, parseIsolatedKey(value, path));
+        row.isolatedKeys.push_back(isolated);
+        return outcome::success();
+    });
     reader.readString("operation", row.operationId);
     BOOST_OUTCOME_TRY(reader.finish());
     BOOST_OUTCOME_TRY(checkHotKeys(row));
