--- a/scripts/mesh.py
+++ b/scripts/mesh.py
@@ -93,6 +93,37 @@
     def status(self):
         return json.loads(call(self.admin, "GET", "/v1/status")[2])
 
+    def metrics(self):
+        """Samples of GET /metrics by name with labels."""
+        lines = call(self.admin, "GET", "/metrics")[2].decode().splitlines()
+        return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in lines if line[:1] not in "#")}
+
+    def journal(self):
+        """Executions of the backend server stand-in."""
+        return json.loads(call(self.backend_control, "GET", "/journal", timeout=60)[2])["executions"]
+
+    def is_running(self):
+        return self.node_process is not None and self.node_process.poll() is None
+
+    def terminate(self):
+        """Starts a drain: the node hands over, finishes its streams and exits."""
+        self.node_process.send_signal(signal.SIGTERM)
+
+    def pause(self):
+        self.node_process.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.node_process.send_signal(signal.SIGCONT)
+
+    def lose(self):
+        """As kill(), but the backend server is only stopped, so that its journal can be read after resume_backend()."""
+        self.node_process.kill()
+        self.backend_process.send_signal(signal.SIGSTOP)
+        self.node_process.wait()
+
+    def resume_backend(self):
+        self.backend_process.send_signal(signal.SIGCONT)
+
     def kill(self):
         """Ends the node and the backend server at once, as the loss of the machine would."""
         for process in (self.node_process, self.backend_process):
@@ -153,6 +184,32 @@
         status, _, body = call((node or self.instances[0]).admin, "GET", f"/v1/partitions?pool={pool}")
         return json.loads(body)["partitions"] if status == 200 else []
 
+    def owners(self, pool, node=None):
+        """Partition -> (owner, epoch)."""
+        return {entry["partition"]: (entry["owner"], entry["epoch"]) for entry in self.partitions(pool, node)}
+
+    def keys_by_partition(self, pool, node=None):
+        """One key of each partition."""
+        node = node or self.instances[0]
+        count = len(self.partitions(pool, node))
+        keys = {}
+        number = 0
+        while len(keys) < count and number < 100 * count:
+            key = f"probe-{number}"
+            status, _, body = call(node.admin, "GET", f"/v1/owner?pool={pool}&key={key}")
+            if status == 200:
+                keys.setdefault(json.loads(body)["partition"], key)
+            number += 1
+        return keys
+
+    def of_pool(self, pool):
+        return [instance for instance in self.instances if instance.pool == pool]
+
+    def table_faults(self, faults):
+        status, _, body = call(self.table_control, "PUT", "/faults", faults)
+        if status != 200:
+            raise RuntimeError(f"faults were refused: {body.decode()}")
+
     def wait_ready(self, timeout=60):
         """Until every partition of every pool has an owner in the view of every node."""
         def ready():
