End a load run even if its last timer fires early

The end of the run was decided by the clock when the timer fired; a timer may fire a moment before the clock reads its time, and then a run whose requests had all ended never returned. The timer itself now marks the end of the plan.

--- a/src/load/internal/load_run.cpp
+++ b/src/load/internal/load_run.cpp
@@ -68,7 +68,10 @@
             , m_settings(std::move(settings))
             , m_onEnd(std::move(onEnd))
             , m_context { base, m_settings, {}, {}, boot_clock::now() + startDelay }
-            , m_end(base, [this] { endIfOver(); })
+            , m_end(base, [this] {
+                m_isLengthOver = true;
+                endIfOver();
+            })
         {
             for (const auto& entry : m_settings.entries)
                 m_clients.push_back(http_client::create(base, entry, m_settings.connectionsPerEntry));
@@ -77,7 +80,6 @@
                 m_senders.push_back(std::make_unique<kind_sender>(base, kind, m_plan.length, m_settings.seed,
                     m_context.startedAt, [this](kind_sender& sender, duration intended) { send(sender, intended); }));
             }
-            // For a plan whose last arrival is the last event.
             m_end.startAt(m_context.startedAt + m_plan.length);
         }
 
@@ -110,7 +112,7 @@
 
         void endIfOver()
         {
-            const bool isOver = boot_clock::now() >= m_context.startedAt + m_plan.length && m_calls.empty()
+            const bool isOver = m_isLengthOver && m_calls.empty()
                 && std::ranges::all_of(m_senders, [](const auto& sender) { return sender->isOver(); });
             if (isOver && m_onEnd)
                 std::exchange(m_onEnd, nullptr)();
@@ -122,6 +124,7 @@
         load_context m_context;
         load_report m_report;
         timer m_end;
+        bool m_isLengthOver = false; ///< Set by the timer alone: it may fire a moment before the clock reads its time.
         std::uint64_t m_number = 0;
         std::vector<std::unique_ptr<http_client>> m_clients;
         std::vector<std::unique_ptr<kind_sender>> m_senders;
