--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -80,6 +80,8 @@
     virtual void applyConfiguration(
         configuration next, std::int64_t baseVersion, std::function<void(result<std::int64_t>)>)
         = 0;
+    /// Reads a version from the store, the present one or an older one. Failures: not_found, store_unavailable.
+    virtual void readConfiguration(std::int64_t version, std::function<void(result<configuration>)>) = 0;
     /// States that the instance's process does not run and will not resume. Fails with not_found.
     virtual result<void> declareLost(const instance_id&) = 0;
 
--- a/src/control/internal/control_node.cpp
+++ b/src/control/internal/control_node.cpp
@@ -391,6 +391,21 @@
         });
 }
 
+void node_impl::readConfiguration(std::int64_t version, std::function<void(result<configuration>)> done)
+{
+    m_ports.store->read(configurationVersionKey(version), m_context.storeDeadline(),
+        [version, done = std::move(done)](const result<std::optional<stored_row>>& read) {
+            if (read.has_error())
+                return done(read.error());
+            if (!read.value())
+                return done(notRun(error_code::not_found, "there is no version " + std::to_string(version)));
+            auto row = parseConfigurationRow(read.value()->value);
+            if (row.has_error())
+                return done(row.error());
+            done(std::move(row).value().value);
+        });
+}
+
 result<void> node_impl::declareLost(const instance_id& id)
 {
     const auto* member = m_view.findMember(id);
--- a/src/control/internal/node_impl.h
+++ b/src/control/internal/node_impl.h
@@ -27,6 +27,7 @@
     void drain() override;
     void applyConfiguration(
         configuration next, std::int64_t baseVersion, std::function<void(result<std::int64_t>)>) override;
+    void readConfiguration(std::int64_t version, std::function<void(result<configuration>)>) override;
     result<void> declareLost(const instance_id&) override;
     node_status status() const override;
     routing_snapshot_ptr snapshot() const override { return m_snapshot; }
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -23,7 +23,6 @@
 namespace {
 
     constexpr duration metricsInterval = std::chrono::seconds(1);
-    constexpr std::size_t administrationBodyBytes = 512 * 1024;
 
     std::uint64_t randomSeed()
     {
@@ -82,7 +81,7 @@
             makeControlNode();
             http_server_limits adminLimits;
             adminLimits.bodyBytes = administrationBodyBytes;
-            m_adminService = std::make_unique<admin_service>(*m_node, m_metrics);
+            m_adminService = std::make_unique<admin_service>(*m_node, m_metrics, m_delays.function());
             BOOST_OUTCOME_TRY(admin,
                 http_server::listen(m_controlBase.get(), m_settings.listeners.admin, adminLimits,
                     [this](http_exchange_ptr exchange) { m_adminService->handle(std::move(exchange)); }));
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/log_event.h"
 
 #include "base/clock.h"
+#include "telemetry/internal/event_history.h"
 
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
@@ -115,6 +116,12 @@
         std::map<log_event, event_window> m_windows;
     };
 
+    event_history& history()
+    {
+        static event_history value(logHistory);
+        return value;
+    }
+
     std::string formatLine(const log_event_definition& definition, std::initializer_list<log_field> fields, int leftOut)
     {
         std::string line
@@ -152,14 +159,16 @@
 {
     static rate_limiter limiter;
     const auto& definition = definitionOf(event);
-    const auto level = toLibraryLevel(definition.level);
-    auto logger = log4cplus::Logger::getRoot();
-    if (!logger.isEnabledFor(level))
-        return;
     const int leftOut = limiter.admit(event, boot_clock::now());
     if (leftOut < 0)
         return;
-    logger.log(level, formatLine(definition, fields, leftOut));
+    history().add(event, fields);
+    const auto level = toLibraryLevel(definition.level);
+    auto logger = log4cplus::Logger::getRoot();
+    if (logger.isEnabledFor(level))
+        logger.log(level, formatLine(definition, fields, leftOut));
 }
 
+recorded_events recordedEvents(std::uint64_t after) { return history().after(after); }
+
 } // namespace heatherdrift
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <initializer_list>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace heatherdrift {
 
@@ -63,6 +67,25 @@
 /// were left out. May be called from any thread.
 void logEvent(log_event, std::initializer_list<log_field> = {});
 
+/// An event that logEvent() let through its limit, whatever the least level of the log is.
+struct recorded_event {
+    std::uint64_t sequence = 0; ///< 1 for the first event of the process.
+    std::chrono::system_clock::time_point time;
+    log_event event = log_event::node_started;
+    std::vector<std::pair<std::string, std::string>> fields;
+
+    bool operator==(const recorded_event&) const = default;
+};
+
+struct recorded_events {
+    std::vector<recorded_event> events; ///< Oldest first.
+    std::uint64_t last = 0; ///< Sequence of the newest event of the process; 0 if there was none.
+};
+
+/// The process keeps its newest logHistory events; those with a higher sequence are returned. From any thread.
+recorded_events recordedEvents(std::uint64_t after);
+
+constexpr std::size_t logHistory = 512;
 constexpr int logBurst = 10;
 constexpr int logWindowSeconds = 10;
 
