--- /dev/null
+++ b/src/ctl/internal/convergence.cpp
@@ -0,0 +1,116 @@
+#include "ctl/internal/convergence.h"
+
+#include <map>
+#include <set>
+
+namespace heatherdrift {
+
+namespace {
+
+    constexpr duration pollInterval = std::chrono::milliseconds(200);
+    constexpr duration statusLimit = std::chrono::seconds(2);
+
+    /// Members that have not got to a version. Versions only grow, so who has got there is not asked again.
+    class convergence {
+    public:
+        convergence(const command_context& context, std::int64_t version)
+            : m_context(context)
+            , m_version(version)
+        {
+        }
+
+        /// Asks those that are missing; true once there are none.
+        bool check()
+        {
+            const auto answer = m_context.client.get("/v1/members");
+            if (answer.has_error()) {
+                m_problem = answer.error().message;
+                return false;
+            }
+            m_problem.clear();
+            std::vector<json> asked;
+            std::vector<endpoint> addresses;
+            for (const auto& member : listOf(answer.value(), "members")) {
+                // Others hold no lease and serve nothing.
+                const auto state = textOf(member, "state");
+                if (state != "joining" && state != "active" && state != "draining")
+                    continue;
+                if (m_done.contains(processOf(member)))
+                    continue;
+                asked.push_back(member);
+                addresses.push_back(parseEndpoint(textOf(member, "admin")).value_or(endpoint {}));
+            }
+            ask(asked, addresses);
+            return m_lagging.empty();
+        }
+
+        json lagging() const { return m_lagging; }
+        const std::string& problem() const { return m_problem; }
+
+    private:
+        static std::string processOf(const json& member)
+        {
+            return textOf(member, "instance") + "#" + textOf(member, "incarnation");
+        }
+
+        void ask(const std::vector<json>& members, const std::vector<endpoint>& addresses)
+        {
+            const auto answers = m_context.client.askEach(addresses, { "GET", "/v1/status", {}, "" }, statusLimit);
+            m_lagging = json::array();
+            for (std::size_t i = 0; i < members.size(); ++i) {
+                const auto status
+                    = answers[i].has_value() ? parseAnswer(answers[i].value()) : result<json>(answers[i].error());
+                const auto version
+                    = status.has_value() ? numberOf(status.value(), "configuration_version") : std::nullopt;
+                // Another instance may have been started at the address of a lost one.
+                const bool isSame
+                    = status.has_value() && textOf(status.value(), "instance") == textOf(members[i], "instance");
+                if (isSame && version.value_or(0) >= m_version) {
+                    m_done.insert(processOf(members[i]));
+                    continue;
+                }
+                m_lagging.push_back(
+                    { { "instance", textOf(members[i], "instance") }, { "admin", textOf(members[i], "admin") },
+                        { "version", isSame && version ? json(*version) : json(nullptr) },
+                        { "problem",
+                            status.has_error() ? status.error().message
+                                : isSame       ? "has not got the version yet"
+                                               : "another instance answers at the address" } });
+            }
+        }
+
+        const command_context& m_context;
+        const std::int64_t m_version;
+        std::set<std::string> m_done;
+        json m_lagging = json::array();
+        std::string m_problem;
+    };
+
+} // namespace
+
+exit_code waitUntilInForce(const command_context& context, std::int64_t version, json& document)
+{
+    convergence wait(context, version);
+    bool isInForce = wait.check();
+    while (!isInForce && !context.client.isOver()) {
+        context.client.wait(pollInterval);
+        if (!context.client.isOver())
+            isInForce = wait.check();
+    }
+    document["in_force"] = isInForce;
+    document["lagging"] = wait.lagging();
+    if (isInForce)
+        return exit_code::done;
+    auto& err = context.streams.err;
+    err << "heatherdriftctl: version " << version << " is accepted but not in force everywhere in time\n";
+    if (!wait.problem().empty())
+        err << "heatherdriftctl: " << wait.problem() << "\n";
+    for (const auto& member : wait.lagging()) {
+        const auto at = textOf(member, "version");
+        err << "  " << textOf(member, "instance") << " (" << textOf(member, "admin")
+            << "): " << (at.empty() ? "" : "at version " + at + ", ") << textOf(member, "problem") << "\n";
+    }
+    return exit_code::not_in_force;
+}
+
+} // namespace heatherdrift
