--- a/src/ctl/internal/cluster_commands.cpp
+++ b/src/ctl/internal/cluster_commands.cpp
@@ -14,8 +14,8 @@
     std::string labelText(const json& member)
     {
         std::string text;
-        for (const auto& [name, value] : member.value("labels", json::object()).items())
-            text += (text.empty() ? "" : ",") + name + "=" + (value.is_string() ? value.get<std::string>() : "?");
+        for (const auto& [name, value] : textsOf(member, "labels"))
+            text += (text.empty() ? "" : ",") + name + "=" + value;
         return text;
     }
 
@@ -84,8 +84,8 @@
         const auto time = absl::FormatTime(
             "%Y-%m-%dT%H:%M:%E3SZ", absl::FromUnixMillis(numberOf(event, "time_ms").value_or(0)), absl::UTCTimeZone());
         auto line = time + " " + textOf(event, "level") + " E" + textOf(event, "number") + " " + textOf(event, "name");
-        for (const auto& [name, value] : event.value("fields", json::object()).items())
-            line += " " + name + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+        for (const auto& [name, value] : textsOf(event, "fields"))
+            line += " " + name + "=" + value;
         return line;
     }
 
--- a/src/ctl/internal/command.cpp
+++ b/src/ctl/internal/command.cpp
@@ -60,6 +60,17 @@
     return found->get<std::int64_t>();
 }
 
+std::map<std::string, std::string> textsOf(const json& object, const char* field)
+{
+    std::map<std::string, std::string> texts;
+    const auto found = object.find(field);
+    if (found == object.end() || !found->is_object())
+        return texts;
+    for (const auto& [name, value] : found->items())
+        texts.emplace(name, textOf(*found, name.c_str()));
+    return texts;
+}
+
 std::vector<json> listOf(const json& object, const char* field)
 {
     const auto found = object.find(field);
--- a/src/ctl/internal/command.h
+++ b/src/ctl/internal/command.h
@@ -4,6 +4,7 @@
 #include "ctl/internal/admin_client.h"
 
 #include <absl/time/time.h>
+#include <map>
 #include <optional>
 #include <ostream>
 #include <string_view>
@@ -60,6 +61,8 @@
 std::string textOf(const json&, const char* field);
 /// Whole number of a field; empty if it is none.
 std::optional<std::int64_t> numberOf(const json&, const char* field);
+/// Members of an object in a JSON object, as text; empty if there is none.
+std::map<std::string, std::string> textsOf(const json&, const char* field);
 /// Elements of a list in a JSON object; empty if there is none.
 std::vector<json> listOf(const json&, const char* field);
 
--- a/src/ctl/internal/convergence.cpp
+++ b/src/ctl/internal/convergence.cpp
@@ -60,25 +60,36 @@
             for (std::size_t i = 0; i < members.size(); ++i) {
                 const auto status
                     = answers[i].has_value() ? parseAnswer(answers[i].value()) : result<json>(answers[i].error());
-                const auto version
-                    = status.has_value() ? numberOf(status.value(), "configuration_version") : std::nullopt;
-                // Another instance may have been started at the address of a lost one.
-                const bool isSame
-                    = status.has_value() && textOf(status.value(), "instance") == textOf(members[i], "instance");
-                if (isSame && version.value_or(0) >= m_version) {
+                auto lag = describe(members[i], status);
+                if (lag)
+                    m_lagging.push_back(std::move(*lag));
+                else
                     m_done.insert(processOf(members[i]));
-                    continue;
-                }
-                m_lagging.push_back(
-                    { { "instance", textOf(members[i], "instance") }, { "admin", textOf(members[i], "admin") },
-                        { "version", isSame && version ? json(*version) : json(nullptr) },
-                        { "problem",
-                            status.has_error() ? status.error().message
-                                : isSame       ? "has not got the version yet"
-                                               : "another instance answers at the address" } });
             }
         }
 
+        /// Empty if the member has got to the version.
+        std::optional<json> describe(const json& member, const result<json>& status) const
+        {
+            json lag { { "instance", textOf(member, "instance") }, { "admin", textOf(member, "admin") },
+                { "version", nullptr } };
+            if (status.has_error()) {
+                lag["problem"] = status.error().message;
+                return lag;
+            }
+            // Another instance may have been started at the address of a lost one.
+            if (textOf(status.value(), "instance") != textOf(member, "instance")) {
+                lag["problem"] = "another instance answers at the address";
+                return lag;
+            }
+            const auto version = numberOf(status.value(), "configuration_version").value_or(0);
+            if (version >= m_version)
+                return std::nullopt;
+            lag["version"] = version;
+            lag["problem"] = "has not got the version yet";
+            return lag;
+        }
+
         const command_context& m_context;
         const std::int64_t m_version;
         std::set<std::string> m_done;
