--- a/src/node/internal/admin_service.cpp
+++ b/src/node/internal/admin_service.cpp
@@ -284,11 +284,13 @@
 void admin_service::apply(const http_exchange_ptr& exchange, configuration next, std::int64_t baseVersion)
 {
     // Looking for the outcome of a write goes on for as long as the store is away; the operator gets an answer.
-    m_after(configurationAnswerTime, [exchange, baseVersion] {
-        if (exchange->isOpen())
-            answer(exchange,
-                mayHaveRun(error_code::deadline_exceeded,
-                    "the outcome of the change is not known yet; look at version " + std::to_string(baseVersion + 1)));
+    m_after(configurationAnswerTime, [pending = std::weak_ptr<http_exchange>(exchange), baseVersion] {
+        const auto open = pending.lock();
+        if (!open || !open->isOpen())
+            return;
+        answer(open,
+            mayHaveRun(error_code::deadline_exceeded,
+                "the outcome of the change is not known yet; look at version " + std::to_string(baseVersion + 1)));
     });
     m_node.applyConfiguration(std::move(next), baseVersion, [exchange](const result<std::int64_t>& version) {
         if (!exchange->isOpen())
