--- a/src/store/page_row.h
+++ b/src/store/page_row.h
@@ -42,7 +42,7 @@
     std::vector<std::string> hotKeys;
     std::string operationId; ///< Of the last write of the row.
     /// Keys of the page's partitions that have a hot partition; empty on the page of the hot partitions.
-    std::vector<isolated_key> isolatedKeys;
+    std::vector<isolated_key> isolatedKeys {};
 
     partition_index firstPartition() const { return number * partitionsPerPage; }
     bool operator==(const page_row&) const = default;
