--- a/src/assignment/tests/placement_test.cpp
+++ b/src/assignment/tests/placement_test.cpp
@@ -1,7 +1,7 @@
 #include "assignment/placement.h"
 
-#include "assignment/coordinator.h"
 #include "assignment/capacity_ramp.h"
+#include "assignment/coordinator.h"
 #include "pool_fixture.h"
 
 #include <gtest/gtest.h>
--- a/src/control/internal/assignment_driver.h
+++ b/src/control/internal/assignment_driver.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "assignment/balancer.h"
+#include "assignment/capacity_ramp.h"
 #include "assignment/coordinator.h"
 #include "assignment/heavy_hitters.h"
 #include "assignment/hot_key_policy.h"
 #include "assignment/placement.h"
-#include "assignment/capacity_ramp.h"
 #include "control/internal/control_context.h"
 #include "control/internal/move_driver.h"
 #include "control/internal/page_writer.h"
--- a/src/lease/lease_settings.h
+++ b/src/lease/lease_settings.h
@@ -30,8 +30,8 @@
     /// Taken off a grant by its holder and added to it by its witness; also the largest clock rate error tolerated.
     double driftShare = 0.02;
     /// A witness refuses a holder whose configuration has been older than its own for longer.
-    /// With the rest of the last grant (1.47 s) a node is without its lease 3.5 s after its witness got the newer version,
-    /// within the 4 s in which a configuration must be in force everywhere.
+    /// With the rest of the last grant (1.47 s) a node is without its lease 3.5 s after its witness got the newer
+    /// version, within the 4 s in which a configuration must be in force everywhere.
     duration staleConfigurationLimit = std::chrono::seconds(2);
     /// How long a witness must be missing before it is replaced while a majority answers.
     duration replacementDelay = std::chrono::seconds(5);
