--- a/cmake/HeatherdriftModule.cmake
+++ b/cmake/HeatherdriftModule.cmake
@@ -8,6 +8,9 @@
     $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/src>
     $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}/heatherdrift>)
   target_link_libraries(heatherdrift_${name} PUBLIC ${ARG_DEPENDS} PRIVATE $<BUILD_INTERFACE:heatherdrift_options>)
+  install(TARGETS heatherdrift_${name} EXPORT heatherdriftTargets ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+  install(DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR} DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/heatherdrift
+    FILES_MATCHING PATTERN "*.h" PATTERN "tests" EXCLUDE PATTERN "benchmarks" EXCLUDE)
 endfunction()
 
 # heatherdrift_test(NAME [DEPENDS targets...])
--- /dev/null
+++ b/cmake/heatherdriftConfig.cmake
@@ -0,0 +1,13 @@
+# Finds the libraries that heatherdrift's modules use; the node as a library is heatherdrift::heatherdrift_node.
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(PkgConfig)
+find_dependency(Boost)
+find_dependency(nlohmann_json)
+find_dependency(absl)
+find_dependency(prometheus-cpp)
+find_dependency(log4cplus)
+pkg_check_modules(LIBEVENT REQUIRED IMPORTED_TARGET libevent libevent_pthreads)
+pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+include(${CMAKE_CURRENT_LIST_DIR}/heatherdriftTargets.cmake)
