Assign a new pool evenly

Cause: the first assignment gave 25, 25, 4, 4, 3 and 3 of 64 partitions to six instances, because members that became active later count as cold and the assignment of one page takes several transactions. Ruled out: the planner, which chose all six. Change: ramps count only once every partition of the pool has been assigned.

--- a/src/control/internal/assignment_driver.cpp
+++ b/src/control/internal/assignment_driver.cpp
@@ -95,9 +95,21 @@
         page.row.entries, [&](const page_entry& entry) { return m_takeovers.isReassigning(entry.owner); });
 }
 
+bool assignment_driver::isComplete(const pool_configuration& pool) const
+{
+    std::uint32_t assigned = 0;
+    m_context.view.partitions().forEach(pool.name, [&](const partition_view& view) {
+        if (view.number > 0 && !isHotPartition(view.index))
+            ++assigned;
+    });
+    return assigned >= pool.partitions;
+}
+
 void assignment_driver::repair(const pool_configuration& pool, time_point now)
 {
-    const auto eligible = m_context.view.eligible(pool, rampAt(now));
+    // A pool that is assigned for the first time has no warm members that could carry more for the cold ones; with
+    // ramps the member seen first would get most of the partitions.
+    const auto eligible = m_context.view.eligible(pool, isComplete(pool) ? rampAt(now) : ramp_function());
     if (eligible.empty())
         return;
     auto& schedule = m_schedules[pool.name];
--- a/src/control/internal/assignment_driver.h
+++ b/src/control/internal/assignment_driver.h
@@ -40,6 +40,8 @@
     };
 
     ramp_function rampAt(time_point now) const;
+    /// Whether every partition of the pool has been assigned at least once.
+    bool isComplete(const pool_configuration&) const;
     void repair(const pool_configuration&, time_point now);
     bool isMine(const std::string& pool, std::uint32_t page, const std::vector<pool_member>&) const;
     bool hasLostOwner(const versioned_page&) const;
--- a/src/control/tests/control_fault_test.cpp
+++ b/src/control/tests/control_fault_test.cpp
@@ -329,6 +329,22 @@
         EXPECT_NE(loser.error().message.find(std::to_string(base + 1)), std::string::npos) << loser.error().message;
     }
 
+    // Guards against a first assignment that gives most partitions to the member that was seen first: six instances of
+    // a pool got 25, 25, 4, 4, 3 and 3 of 64 partitions.
+    TEST(ControlNodeStart, FirstAssignmentIsBalanced)
+    {
+        fake_mesh mesh(3, 2);
+        mesh.startAll();
+        mesh.applyConfiguration();
+        ASSERT_TRUE(mesh.runUntilServed(seconds(60)));
+        for (int i = 0; i < mesh.size(); ++i) {
+            int owned = 0;
+            for (partition_index partition = 0; partition < fake_mesh::partitions; ++partition)
+                owned += mesh.at(i).owns(partition);
+            EXPECT_LE(owned, 3) << i; // 16 partitions over 6 instances.
+        }
+    }
+
     // Guards against a sole instance that cannot serve, and a second one that breaks its lease when it joins.
     TEST(ControlNodeStart, FirstInstanceServesAloneAndTakesAWitnessLater)
     {
