--- a/src/node/tests/admin_service_test.cpp
+++ b/src/node/tests/admin_service_test.cpp
@@ -37,7 +37,7 @@
         http_request m_request;
     };
 
-    class AdminService : public ::testing::Test {
+    class admin_service_test : public ::testing::Test {
     protected:
         std::shared_ptr<fake_exchange> ask(
             const std::string& method, const std::string& target, const std::string& body = "")
@@ -75,7 +75,7 @@
     };
 
     // Guards against input that is half understood: wrong types, unknown fields, paths, methods and parameters.
-    TEST_F(AdminService, RejectsBadInputWithItsPath)
+    TEST_F(admin_service_test, RejectsBadInputWithItsPath)
     {
         const std::string nested(100000, '[');
         const std::string valid = R"({"base_version": 7, "configuration": )";
@@ -142,7 +142,7 @@
     }
 
     // Guards against fields that disappear from the documents that programs read.
-    TEST_F(AdminService, AnswersReads)
+    TEST_F(admin_service_test, AnswersReads)
     {
         EXPECT_EQ(get("/v1/status")["lease_remaining_ms"], 900);
         EXPECT_EQ(get("/v1/members")["members"][0]["partitions"], 3);
@@ -162,14 +162,14 @@
     }
 
     // Guards against an exception for keys that are not UTF-8 and keys cut at a NUL byte.
-    TEST_F(AdminService, KeysMayHoldAnyBytes)
+    TEST_F(admin_service_test, KeysMayHoldAnyBytes)
     {
         for (const char* target : { "/v1/owner?pool=a&key=%ff%fe", "/v1/owner?pool=a&key=hot%00x" })
             EXPECT_NE(ask("GET", target)->document().value("key", ""), "hot");
     }
 
     // Guards against a node without a configuration yet that fails or claims to know something.
-    TEST_F(AdminService, AnswersBeforeAnyConfiguration)
+    TEST_F(admin_service_test, AnswersBeforeAnyConfiguration)
     {
         m_node.view = nullptr;
         EXPECT_EQ(get("/v1/configuration")["version"], 0);
@@ -180,7 +180,7 @@
     }
 
     // Guards against events that are repeated or lost between two reads.
-    TEST_F(AdminService, EventsFollowASequence)
+    TEST_F(admin_service_test, EventsFollowASequence)
     {
         const auto last = get("/v1/events")["last"].get<std::uint64_t>();
         logEvent(log_event::lease_lost, { { "holder", "a-1#2\xff" } });
@@ -192,7 +192,7 @@
     }
 
     // Guards against actions on the wrong node or instance.
-    TEST_F(AdminService, PassesActionsOn)
+    TEST_F(admin_service_test, PassesActionsOn)
     {
         ask("POST", "/v1/announcements", R"({"address": "127.0.0.1:9", "labels": {"pool": "a"}, "slots": 4})");
         EXPECT_EQ(m_node.announced->slots, 4);
@@ -203,7 +203,7 @@
     }
 
     // Guards against a drain that changes other labels or follows another version than the one that it was made from.
-    TEST_F(AdminService, DrainChangesOneLabel)
+    TEST_F(admin_service_test, DrainChangesOneLabel)
     {
         const auto exchange = ask("POST", "/v1/instances/a-1/drain");
         auto expected = m_node.current;
@@ -222,7 +222,7 @@
 
     // Guards against a change whose operator waits as long as the store hangs, and against an unknown outcome that is
     // reported as refused or applied.
-    TEST_F(AdminService, ApplyIsAnsweredInBoundedTime)
+    TEST_F(admin_service_test, ApplyIsAnsweredInBoundedTime)
     {
         const auto body = json { { "base_version", 7 }, { "configuration", toJson(m_node.current) } }.dump();
         const auto hanging = ask("PUT", "/v1/configuration", body);
@@ -247,7 +247,7 @@
     }
 
     // Guards against a listener that takes more than the documented size.
-    TEST_F(AdminService, OversizedBodiesAreRefused)
+    TEST_F(admin_service_test, OversizedBodiesAreRefused)
     {
         signal(SIGPIPE, SIG_IGN);
         const event_base_handle base(event_base_new());
