--- a/scripts/mesh.py
+++ b/scripts/mesh.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -33,16 +34,24 @@
 }
 
 
+# Below the range from which the kernel takes the ports of outgoing connections (net.ipv4.ip_local_port_range):
+# otherwise a connection of a process that is already running can take a port before its listener is bound.
+FIRST_PORT, LAST_PORT = 10000, 32000
+_next_port = random.randrange(FIRST_PORT, LAST_PORT)
+
+
 def free_ports(count):
-    """Ports that were free a moment ago; all are held until the last is known, so they differ."""
-    sockets = []
-    for _ in range(count):
-        held = socket.socket()
-        held.bind(("127.0.0.1", 0))
-        sockets.append(held)
-    ports = [held.getsockname()[1] for held in sockets]
-    for held in sockets:
-        held.close()
+    """Ports that were free a moment ago, each given out once."""
+    global _next_port
+    ports = []
+    while len(ports) < count:
+        _next_port = _next_port + 1 if _next_port < LAST_PORT else FIRST_PORT
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", _next_port))
+            except OSError:
+                continue
+            ports.append(_next_port)
     return ports
 
 
@@ -214,7 +223,10 @@
         """Until every partition of every pool has an owner in the view of every node."""
         def ready():
             for instance in self.instances:
-                if instance.node_process is None or instance.node_process.poll() is not None:
+                if not instance.is_running():
+                    # Positive: the node gave up by itself, as it does if it cannot bind its listeners.
+                    if instance.node_process and instance.node_process.poll() > 0:
+                        raise RuntimeError(f"node {instance.name} ended, see {self.directory}")
                     continue
                 if not instance.status()["has_lease"]:
                     return False
