--- a/scripts/mesh.py
+++ b/scripts/mesh.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -259,7 +260,15 @@
             process.wait()
 
     def __enter__(self):
+        # Without a handler, SIGTERM ends the script without __exit__, and the mesh's processes go on.
+        signal.signal(signal.SIGTERM, self._terminated)
         return self
 
+    @staticmethod
+    def _terminated(*_):
+        # timeout(1) sends the signal twice; the second one would interrupt __exit__.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        sys.exit(128 + signal.SIGTERM)
+
     def __exit__(self, *_):
         self.stop()
