Wait for calls whose key became hot while they ran

Cause: a hand-over of a hot partition could begin while a call that needs ownership was still counted for the key's ordinary partition. Change: the partition of a running call is looked up again before a partition counts as quiet.

--- a/src/routing/internal/call_executor.cpp
+++ b/src/routing/internal/call_executor.cpp
@@ -243,8 +243,15 @@
         return;
     std::set<partition_id> busy;
     for (const auto& [id, running] : m_calls) {
-        if (const auto held = running->heldPartition())
-            busy.insert(*held);
+        const auto held = running->heldPartition();
+        if (!held)
+            continue;
+        busy.insert(*held);
+        // A key that became hot while the call was running is now in a partition of its own, which must wait as well.
+        const auto* pool = m_snapshot->configuration->findPool(held->pool);
+        const auto found = pool ? m_snapshot->partitions.find(*pool, running->source().key) : std::nullopt;
+        if (found)
+            busy.insert({ held->pool, found->index });
     }
     for (auto& [partition, waiting] : m_stopped) {
         if (busy.contains(partition))
