Fix two stand-in tests that raced with their own answer

Change: the tests pause after the head, with an answer larger than the socket buffers, or use a slow rate. Conclusion: what the tests check is unchanged.

--- a/src/standin/tests/backend_server_test.cpp
+++ b/src/standin/tests/backend_server_test.cpp
@@ -150,9 +150,8 @@
         awaitLoad(1, 0);
         running->cancel();
         awaitLoad(0, 0);
-        auto streamed = work("streamed", { { "standin-response-bytes", "100000000" } });
-        const auto streaming = begin(std::move(streamed));
-        streaming->pause();
+        const auto streaming
+            = begin(work("streamed", { { "standin-response-bytes", "1000000" }, { "standin-rate-bytes-per-s", "1" } }));
         awaitLoad(1, 0);
         streaming->cancel();
         awaitLoad(0, 0);
@@ -345,7 +344,9 @@
     {
         start(oneSlot());
         std::optional<int> status;
-        const auto running = begin(work("a", { { "standin-response-bytes", "10000000" } }), &status);
+        // More than the sockets buffer, so that it runs until the client reads on.
+        const auto running = begin(work("a", { { "standin-response-bytes", "100000000" } }), &status);
+        loop.runUntil([&] { return status.has_value(); });
         running->pause();
         awaitLoad(1, 0);
         putFaults(R"({"drain":true})");
