Use one field name for the operation id in all rows; bound isolated keys

Cause: membership rows and pages had the operation id in "operation", configuration and intent rows in "operation_id". The default test of the read-back knew only the first, so a configuration or intent write with a lost answer that took effect was reported as not to be told. Isolated keys of a page had no bound. Change: "operation_id" everywhere; at most 64 isolated keys, each once, with a positive epoch. Tests: OperationIdTest.FindsTheIdInEveryKindOfRow, four bad pages. Conclusion: the read-back finds every kind of row.

--- a/src/store/applied_test.h
+++ b/src/store/applied_test.h
@@ -16,7 +16,8 @@
 /// not taken effect before they were read; it may do so later.
 using applied_test = std::function<applied_state(const std::vector<stored_row>&)>;
 
-/// `applied` if one of the rows is a JSON object with the operation id in its field "operation", otherwise `unknown`.
+/// `applied` if one of the rows is a JSON object with the operation id in its field "operation_id", otherwise
+/// `unknown`.
 applied_test operationIdTest(std::string operationId);
 
 } // namespace heatherdrift
--- a/src/store/internal/member_row.cpp
+++ b/src/store/internal/member_row.cpp
@@ -108,7 +108,7 @@
         { "slots", row.slots },
         { "witnesses", std::move(witnesses) },
         { "fenced_by", row.fencedBy },
-        { "operation", row.operationId },
+        { "operation_id", row.operationId },
     };
     for (const auto& [name, value] : row.labels)
         document["labels"][name] = value;
@@ -138,7 +138,7 @@
     reader.readArray(
         "witnesses", [&](const json& value, const std::string& path) { return addWitness(row, value, path); });
     reader.readString("fenced_by", row.fencedBy);
-    reader.readString("operation", row.operationId);
+    reader.readString("operation_id", row.operationId);
     BOOST_OUTCOME_TRY(reader.finish());
     return row;
 }
--- a/src/store/internal/page_row.cpp
+++ b/src/store/internal/page_row.cpp
@@ -3,6 +3,7 @@
 #include "http/uri.h"
 #include "store/internal/row_json.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -32,14 +33,16 @@
         json m_list = json::array();
     };
 
+    bool isEpoch(const json& value)
+    {
+        return value.is_number_unsigned() && value.get<std::uint64_t>() <= static_cast<std::uint64_t>(INT64_MAX);
+    }
+
     /// Parses [owner, epoch, previous owner], where the owners are numbers of instances.
     result<page_entry> parseEntry(
         const json& value, const std::vector<instance_ref>& instances, const std::string& path)
     {
-        const auto isNumber = [](const json& item) {
-            return item.is_number_unsigned() && item.get<std::uint64_t>() <= static_cast<std::uint64_t>(INT64_MAX);
-        };
-        if (!value.is_array() || value.size() != 3 || !isNumber(value[0]) || !isNumber(value[1]) || !isNumber(value[2]))
+        if (!value.is_array() || value.size() != 3 || !std::ranges::all_of(value, &isEpoch))
             return unreadable(path, "expected three integers");
         const auto owner = value[0].get<std::uint64_t>();
         const auto previousOwner = value[2].get<std::uint64_t>();
@@ -75,12 +78,24 @@
     /// Parses [key, epoch of its hot partition].
     result<isolated_key> parseIsolatedKey(const json& value, const std::string& path)
     {
-        if (!value.is_array() || value.size() != 2 || !value[1].is_number_unsigned())
+        if (!value.is_array() || value.size() != 2 || !isEpoch(value[1]) || value[1] == 0)
             return unreadable(path, "expected a key and an epoch");
         BOOST_OUTCOME_TRY(key, parseHotKey(value[0], path));
         return isolated_key { key, value[1].get<epoch>() };
     }
 
+    result<void> addIsolatedKey(page_row& row, const json& value, const std::string& path)
+    {
+        // A pool has no more hot partitions for the keys of all its pages together.
+        if (row.isolatedKeys.size() == maximumHotKeys)
+            return unreadable(path, "too many keys");
+        BOOST_OUTCOME_TRY(isolated, parseIsolatedKey(value, path));
+        if (std::ranges::count(row.isolatedKeys, isolated.key, &isolated_key::key) != 0)
+            return unreadable(path, "named twice");
+        row.isolatedKeys.push_back(isolated);
+        return outcome::success();
+    }
+
     /// Fills the entries from the instances, so it must be read after them.
     void readEntries(json_reader& reader, page_row& row)
     {
@@ -131,7 +146,7 @@
         { "instances", instances.list() },
         { "entries", std::move(entries) },
         { "hot_keys", std::move(hotKeys) },
-        { "operation", row.operationId },
+        { "operation_id", row.operationId },
     };
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -149,12 +164,9 @@
         row.hotKeys.push_back(key);
         return outcome::success();
     });
-    reader.readArray("isolated_keys", [&](const json& value, const std::string& path) -> result<void> {
-        BOOST_OUTCOME_TRY(isolated, parseIsolatedKey(value, path));
-        row.isolatedKeys.push_back(isolated);
-        return outcome::success();
-    });
-    reader.readString("operation", row.operationId);
+    reader.readArray(
+        "isolated_keys", [&](const json& value, const std::string& path) { return addIsolatedKey(row, value, path); });
+    reader.readString("operation_id", row.operationId);
     BOOST_OUTCOME_TRY(reader.finish());
     BOOST_OUTCOME_TRY(checkHotKeys(row));
     return row;
--- a/src/store/internal/write_resolution.cpp
+++ b/src/store/internal/write_resolution.cpp
@@ -40,7 +40,7 @@
     return [operationId = std::move(operationId)](const std::vector<stored_row>& rows) {
         const bool isFound = std::ranges::any_of(rows, [&](const stored_row& row) {
             const auto value = json::parse(row.value, nullptr, false);
-            const auto field = value.is_object() ? value.find("operation") : value.end();
+            const auto field = value.is_object() ? value.find("operation_id") : value.end();
             return value.is_object() && field != value.end() && *field == operationId;
         });
         return isFound ? applied_state::applied : applied_state::unknown;
--- a/src/store/tests/resolving_store_property_test.cpp
+++ b/src/store/tests/resolving_store_property_test.cpp
@@ -114,7 +114,7 @@
                 const auto row = m_fake.find(key);
                 const auto version = row ? row->version : 0;
                 if (plan.writeMask & (1u << i))
-                    transaction.writes.push_back({ key, version, R"({"operation":")" + id + R"("})" });
+                    transaction.writes.push_back({ key, version, R"({"operation_id":")" + id + R"("})" });
                 else if (plan.checkMask & (1u << i))
                     transaction.checks.push_back({ key, version });
             }
--- a/src/store/tests/resolving_store_test.cpp
+++ b/src/store/tests/resolving_store_test.cpp
@@ -11,7 +11,7 @@
     const row_key rowB { "members", "b" };
     const row_key rowC { "members", "c" };
 
-    std::string valueOf(const std::string& operationId) { return R"({"operation":")" + operationId + R"("})"; }
+    std::string valueOf(const std::string& operationId) { return R"({"operation_id":")" + operationId + R"("})"; }
 
     row_write writeOf(const row_key& key, row_version expected, const std::string& operationId)
     {
--- a/src/store/tests/row_test.cpp
+++ b/src/store/tests/row_test.cpp
@@ -1,3 +1,5 @@
+#include "configuration/configuration_store_rows.h"
+#include "store/applied_test.h"
 #include "store/member_row.h"
 #include "store/page_row.h"
 
@@ -127,7 +129,8 @@
     {
         EXPECT_EQ(toJsonText(samplePage()),
             R"({"entries":[[1,5,2],[2,6,0],[0,7,1],[0,0,0]],"hot_keys":[],)"
-            R"("instances":[["a",1],["b",2]],"isolated_keys":[["hot%20key",8]],"operation":"op-2","page":3,"pool":"lookup"})");
+            R"("instances":[["a",1],["b",2]],"isolated_keys":[["hot%20key",8]],)"
+            R"("operation_id":"op-2","page":3,"pool":"lookup"})");
         page_row full { "lookup", 0, {}, {}, "0123456789abcdef0123456789abcdef", {} };
         for (std::uint64_t i = 0; i < partitionsPerPage; ++i)
             full.entries.push_back({ { "instance-" + std::to_string(i % 20), 100 }, 1000 + i, { "instance-1", 99 } });
@@ -136,7 +139,9 @@
 
     TEST(PageRow, RejectsEachBadField)
     {
-        const json entries = json::parse("[[1,5,2]]");
+        json manyKeys = json::array();
+        for (int i = 0; i < 65; ++i)
+            manyKeys.push_back(json::array({ "k" + std::to_string(i), 1 }));
         const bad_field cases[] = {
             { "pool", "", "pool: expected 1 to 255 bytes" },
             { "page", 65537, "page: expected an integer from 0 to 65536" },
@@ -153,7 +158,10 @@
             { "page", hotPageNumber, "hot_keys: expected one key per entry of the hot page" },
             { "isolated_keys", json::parse(R"([["k"]])"), "isolated_keys[0]: expected a key and an epoch" },
             { "isolated_keys", json::parse(R"([["%zz",1]])"), "isolated_keys[0]: expected a percent-encoded key" },
-            { "operation", missing, "operation: missing" },
+            { "isolated_keys", json::parse(R"([["k",0]])"), "isolated_keys[0]: expected a key and an epoch" },
+            { "isolated_keys", json::parse(R"([["k",1],["k",2]])"), "isolated_keys[1]: named twice" },
+            { "isolated_keys", manyKeys, "isolated_keys[64]: too many keys" },
+            { "operation_id", missing, "operation_id: missing" },
             { "extra", 1, "extra: unknown field" },
         };
         for (const auto& entry : cases)
@@ -192,6 +200,23 @@
         RC_ASSERT(parsed.value() == row);
     }
 
+    // Guards against a kind of row in which the read-back does not find the operation id: a write that took effect
+    // would be reported as not to be told.
+    TEST(OperationIdTest, FindsTheIdInEveryKindOfRow)
+    {
+        auto configured = configuration_row { {}, "op-1" };
+        auto page = samplePage();
+        page.operationId = "op-1";
+        for (const auto& text : { toJsonText(sampleMember()), toJsonText(page), toJsonText(configured) }) {
+            const std::vector<stored_row> rows { { { "t", "absent" }, 0, "" }, { { "t", "k" }, 1, text } };
+            EXPECT_EQ(operationIdTest("op-1")(rows), applied_state::applied) << text;
+            EXPECT_EQ(operationIdTest("op-3")(rows), applied_state::unknown) << text;
+        }
+        for (const auto* text :
+            { "", "op-1", R"("op-1")", R"(["operation_id","op-1"])", R"({"operation_id":["op-1"]})" })
+            EXPECT_EQ(operationIdTest("op-1")({ { { "t", "k" }, 1, text } }), applied_state::unknown) << text;
+    }
+
     // Guards against a crash or an accepted row after part of its text was lost.
     TEST(RowText, TruncatedTextIsRejected)
     {
