Drop the callbacks of an exchange when its answer is complete

Cause: the sanitizer job reported a leak: a callback that holds its own exchange kept it alive for ever. Change: the callbacks go with the end of the answer; two findings of the linter in the admission module are fixed.

--- a/src/admission/recent_map.h
+++ b/src/admission/recent_map.h
@@ -35,7 +35,7 @@
         }
         if (m_entries.size() >= m_capacity)
             order.pop_back();
-        return order.push_front(entry { key, Value(std::forward<Arguments>(arguments)...) }).first->value;
+        return order.push_front(entry { key, Value { std::forward<Arguments>(arguments)... } }).first->value;
     }
 
     void erase(const Key& key) { m_entries.template get<1>().erase(key); }
--- a/src/admission/tests/retry_test.cpp
+++ b/src/admission/tests/retry_test.cpp
@@ -122,8 +122,8 @@
     // Guards against a server that is down and gets a stream of connection attempts from every node at the same time.
     TEST(ConnectionPlan, BacksOffWithJitterWhileTheServerIsDown)
     {
-        for (const std::uint64_t plan_seed : { seed, seed + 1 }) {
-            connection_plan plan({ 14, 8 }, seededRandom(plan_seed));
+        for (const std::uint64_t planSeed : { seed, seed + 1 }) {
+            connection_plan plan({ 14, 8 }, seededRandom(planSeed));
             int attempts = 0;
             time_point last = time_point::min();
             for (auto now = start; now < start + 60s; now += 1ms) {
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -105,6 +105,7 @@
             auto* connection = evhttp_request_get_connection(m_native);
             const int descriptor = bufferevent_getfd(streamOf(connection));
             evhttp_connection_set_closecb(connection, nullptr, nullptr);
+            dropCallbacks();
             auto* native = std::exchange(m_native, nullptr);
             // The event loop sees the closed socket and frees the connection with its request.
             shutdown(descriptor, SHUT_RDWR);
@@ -127,6 +128,13 @@
 
         bufferevent* connectionStream() const { return streamOf(evhttp_request_get_connection(m_native)); }
 
+        /// The callbacks often hold this exchange, so keeping them after the answer would keep it forever.
+        void dropCallbacks()
+        {
+            m_onDrained = nullptr;
+            m_onClosed = nullptr;
+        }
+
         /// Gives the request back to evhttp, which reads the next one from the connection after the answer.
         evhttp_request* release()
         {
@@ -135,6 +143,7 @@
             bufferevent_setwatermark(stream, EV_READ, 0, 0);
             bufferevent_set_timeouts(stream, &m_idleTimeout, &m_idleTimeout);
             evhttp_connection_set_closecb(evhttp_request_get_connection(m_native), nullptr, nullptr);
+            dropCallbacks();
             return std::exchange(m_native, nullptr);
         }
 
