--- a/src/ctl/internal/convergence.cpp
+++ b/src/ctl/internal/convergence.cpp
@@ -61,13 +61,24 @@
                 const auto status
                     = answers[i].has_value() ? parseAnswer(answers[i].value()) : result<json>(answers[i].error());
                 auto lag = describe(members[i], status);
-                if (lag)
-                    m_lagging.push_back(std::move(*lag));
-                else
+                if (!lag) {
                     m_done.insert(processOf(members[i]));
+                    continue;
+                }
+                keepLastVersion(processOf(members[i]), *lag);
+                m_lagging.push_back(std::move(*lag));
             }
         }
 
+        /// The question that the deadline cuts off must not hide what the member answered before.
+        void keepLastVersion(const std::string& process, json& lag)
+        {
+            if (!lag["version"].is_null())
+                m_versions[process] = lag["version"];
+            else if (const auto known = m_versions.find(process); known != m_versions.end())
+                lag["version"] = known->second;
+        }
+
         /// Empty if the member has got to the version.
         std::optional<json> describe(const json& member, const result<json>& status) const
         {
@@ -93,6 +104,7 @@
         const command_context& m_context;
         const std::int64_t m_version;
         std::set<std::string> m_done;
+        std::map<std::string, json> m_versions; ///< Last answer of each process.
         json m_lagging = json::array();
         std::string m_problem;
     };
