Use the view's list of member rows for the registration

Cause: the same loop over the members stood in own_row.cpp and in cluster_view. Change: own_row calls memberRows(). Behaviour is the same.

--- a/src/control/internal/own_row.cpp
+++ b/src/control/internal/own_row.cpp
@@ -15,14 +15,6 @@
 
     bool isFencedState(member_state state) { return state == member_state::fencing || state == member_state::fenced; }
 
-    std::vector<member_row> rowsOf(const member_map& members)
-    {
-        std::vector<member_row> rows;
-        for (const auto& [id, member] : members)
-            rows.push_back(member.row);
-        return rows;
-    }
-
 } // namespace
 
 own_row::own_row(control_context& context, node_identity identity, hooks callbacks)
@@ -103,7 +95,7 @@
     next.forward = m_identity.forward;
     next.control = m_identity.control;
     next.admin = m_identity.admin;
-    next.witnesses = chooseWitnesses(next, rowsOf(m_context.view.members()));
+    next.witnesses = chooseWitnesses(next, m_context.view.memberRows());
     next = registrationOver(current ? std::optional(current->row) : std::nullopt, next);
     begin(std::move(next), current ? current->version : 0, true);
 }
