Confirm the range map from the first heartbeat on

Cause: the time since the last confirmation was computed from the least time point and overflowed, so that only the writer of the map ever granted keys. The time of the next confirmation is stored instead.

--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -117,9 +117,9 @@
 void ownership::confirmIfDue(time_point now)
 {
     const bool isOwner = !m_keeper.life().empty() && m_map.hasOwner(m_keeper.life());
-    if (!isOwner || m_isWriting || now - m_confirmSentAt < confirmInterval || now < m_mayWriteAt)
+    if (!isOwner || m_isWriting || now < m_confirmDueAt || now < m_mayWriteAt)
         return;
-    m_confirmSentAt = now;
+    m_confirmDueAt = now + confirmInterval;
     m_isWriting = true;
     conditional_write check;
     check.checks.push_back({ m_row, m_version });
@@ -143,7 +143,7 @@
 {
     // A write whose answer was lost may still take effect; the feed shows it, and a later one conflicts with it.
     m_mayWriteAt = boot_clock::now() + writeBackoff;
-    m_confirmSentAt = time_point::min();
+    m_confirmDueAt = time_point::min();
 }
 
 bool ownership::isOwnerKnown(const life_name& life, const std::vector<owner_candidate>& candidates) const
@@ -263,7 +263,7 @@
         return failed();
     if (!outcome.value().isApplied)
         return handleConflict(outcome.value(), sentAt);
-    m_confirmSentAt = std::max(m_confirmSentAt, sentAt);
+    m_confirmDueAt = std::max(m_confirmDueAt, sentAt + confirmInterval);
     adopt(proposed, outcome.value().version, sentAt);
     propose();
 }
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -76,7 +76,7 @@
     std::map<fencing_token, time_point> m_seenAt; ///< When this process first saw an assignment.
     bool m_isWriting = false;
     time_point m_startedAt;
-    time_point m_confirmSentAt = time_point::min();
+    time_point m_confirmDueAt = time_point::min();
     time_point m_mayWriteAt = time_point::min(); ///< After a failed write.
     time_point m_mayShedAt = time_point::min();
     time_point m_strayedSince = time_point::max(); ///< Since when some keys have no live owner.
