--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -70,6 +70,8 @@
     virtual void stopListening() = 0;
     /// From now on each connection is closed after the answer to the last request that has arrived on it.
     virtual void closeAfterAnswers() = 0;
+    /// Closes connections on which no request has arrived that is not answered.
+    virtual void closeIdle() = 0;
     virtual std::size_t connectionCount() const = 0;
 };
 
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -60,6 +60,12 @@
         void setLimits(const http_server_limits& limits) override { m_context->limits = limits; }
         void stopListening() override { m_listener = nullptr; }
         void closeAfterAnswers() override { m_context->closesAfterAnswers = true; }
+        void closeIdle() override
+        {
+            const auto connections = m_connections;
+            for (const auto& [key, connection] : connections)
+                connection->closeIfIdle();
+        }
         std::size_t connectionCount() const override { return m_connections.size(); }
 
     private:
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -17,6 +17,11 @@
     constexpr int statusUnavailable = 503;
     constexpr int statusTimeout = 504;
 
+    std::string milliseconds(duration value)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+    }
+
     bool isServerFailure(const gate_answer& answer)
     {
         return answer.outcome == verdict::ran && answer.response.head.status >= 500;
@@ -30,6 +35,7 @@
     , m_exchange(std::move(exchange))
     , m_request(std::move(request))
     , m_mostAttempts(std::max(1, route.mostAttempts))
+    , m_receivedAt(boot_clock::now())
     , m_retry(m_context.base, [this] { sendNext(); })
 {
 }
@@ -164,6 +170,12 @@
     const auto now = boot_clock::now();
     observe(answer, now);
     const auto node = m_attempt->node;
+    m_trail.append(m_trail.empty() ? "" : " ").append(node).append(":");
+    if (answer.outcome == verdict::ran)
+        m_trail.append(std::to_string(answer.response.head.status));
+    else
+        m_trail.append(toString(answer.outcome)).append("/").append(toString(answer.reason));
+    m_trail.append(":").append(milliseconds(now - m_attempt->startedAt));
     m_attempt.reset();
     if (answer.reachedBackend)
         ++m_arrivals;
@@ -199,11 +211,13 @@
     if (!m_mayHaveRun)
         return refuse(answer.retryAfter);
     const bool isLate = answer.reason == error_code::deadline_exceeded;
+    logEnd(log_event::request_failed, toString(answer.reason));
     respond({ { isLate ? statusTimeout : statusBadGateway, {} }, "" });
 }
 
 void entry_call::refuse(duration retryAfter)
 {
+    logEnd(log_event::request_refused, m_lastAnswer ? toString(m_lastAnswer->reason) : "no_backend_server");
     http_response response { { statusUnavailable, {} }, "" };
     m_context.port.addRetryAfter(response.head, std::max<duration>(retryAfter, std::chrono::milliseconds(20)));
     respond(std::move(response));
@@ -213,6 +227,7 @@
 {
     if (m_isDone)
         return;
+    logEnd(log_event::request_abandoned, m_attempt ? m_attempt->node : "between_attempts");
     if (m_attempt) {
         if (!m_request.key) {
             m_context.directory.view(m_request.service)
@@ -226,6 +241,17 @@
     end();
 }
 
+void entry_call::logEnd(log_event event, std::string_view reason) const
+{
+    const auto now = boot_clock::now();
+    logEvent(event,
+        { { "request", m_request.id }, { "reason", std::string(reason) }, { "route", m_request.route },
+            { "service", m_request.service }, { "key", m_request.key ? std::to_string(*m_request.key) : "" },
+            { "attempts", m_trail }, { "age_ms", milliseconds(now - m_receivedAt) },
+            { "left_ms", milliseconds(m_request.deadline - now) },
+            { "configuration", std::to_string(m_context.routes.version()) } });
+}
+
 void entry_call::end()
 {
     m_isDone = true;
--- a/src/mesh/internal/entry_call.h
+++ b/src/mesh/internal/entry_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mesh/internal/entry_service.h"
+#include "telemetry/log_event.h"
 
 namespace heatherdrift {
 
@@ -34,6 +35,7 @@
     void refuse(duration retryAfter);
     void cancel();
     void end();
+    void logEnd(log_event, std::string_view reason) const;
 
     entry_service& m_owner;
     entry_context& m_context;
@@ -44,6 +46,8 @@
     int m_refusals = 0; ///< Gates that did not take it.
     std::vector<instance_id> m_tried;
     std::optional<attempt> m_attempt;
+    std::string m_trail; ///< Ended attempts for the log: node, result and milliseconds of each.
+    time_point m_receivedAt;
     std::optional<gate_answer> m_lastAnswer;
     timer m_retry;
     bool m_mayHaveRun = false; ///< An attempt ended without proof that the request did not run.
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -72,6 +72,10 @@
 request_number gate_service::execute(routed_request request, answer_function answered)
 {
     const request_number id = ++m_lastNumber;
+    if (m_isStopping) {
+        answered(refusal(error_code::draining));
+        return id;
+    }
     m_requests[id] = { std::move(request), std::move(answered), false, {}, nullptr };
     submit(id);
     return id;
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -52,7 +52,9 @@
     void setMaximumConnections(int);
     /// The backend server leaves: it gets no request after this time.
     void closeAt(time_point);
-    bool isDraining() const { return m_closesAt != time_point::max(); }
+    /// Refuses requests of other nodes from now on, as not run; those that wait or run go on.
+    void stopAccepting() { m_isStopping = true; }
+    bool isDraining() const { return m_isStopping || m_closesAt != time_point::max(); }
     /// Answers of keyAccess may have changed.
     void keysChanged();
 
@@ -85,6 +87,7 @@
     gate_hooks m_hooks;
     gate_backend m_backend;
     time_point m_closesAt = time_point::max();
+    bool m_isStopping = false;
     std::unique_ptr<http_client> m_client;
     slot_queue m_queue;
     key_load m_keyLoad;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -101,7 +101,7 @@
                 return;
             logEvent(log_event::node_stopping);
             const auto now = boot_clock::now();
-            m_mayEndAt = now + leastStopTime;
+            m_closesGateAt = now + leastStopTime;
             m_endsAt = now + m_settings.stopTime - stopMargin;
             m_entryServer->closeAfterAnswers();
             m_stopPoll.startRepeating(stopPollInterval);
@@ -286,11 +286,21 @@
             }
         }
 
+        /// The backend server may still make nested calls while it runs requests, so the listener for callers closes
+        /// only after the gate is empty.
         void stopIfDone()
         {
             const auto now = boot_clock::now();
-            const bool isIdle = m_entry.inProgress() == 0 && m_gate.inProgress() == 0;
-            if ((now >= m_mayEndAt && isIdle) || now >= m_endsAt)
+            if (now >= m_endsAt)
+                return static_cast<void>(event_base_loopbreak(m_base));
+            if (now < m_closesGateAt)
+                return;
+            m_gate.stopAccepting();
+            if (m_gate.inProgress() > 0)
+                return;
+            m_entryServer->stopListening();
+            m_entryServer->closeIdle();
+            if (m_entry.inProgress() == 0)
                 event_base_loopbreak(m_base);
         }
 
@@ -314,7 +324,7 @@
         timer m_publishRetry;
         timer m_ping;
         bool m_isStopping = false;
-        time_point m_mayEndAt {};
+        time_point m_closesGateAt {};
         time_point m_endsAt {};
         timer m_stopPoll;
         std::unique_ptr<http_server> m_forwardServer;
--- a/src/settings/internal/mesh_settings.cpp
+++ b/src/settings/internal/mesh_settings.cpp
@@ -41,6 +41,7 @@
     reader.readNumber("stop_s", stopSeconds, 0.1, 3600);
     settings.stopTime = std::chrono::duration_cast<duration>(std::chrono::duration<double>(stopSeconds));
     reader.readNumber("retry_share", settings.retryShare, 0, 1);
+    reader.readInteger("log_lines", settings.logLines, { 1, 1000000 }, json_reader::presence::optional);
     BOOST_OUTCOME_TRY(reader.finish());
     return settings;
 }
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -2,13 +2,18 @@
 
 #include "base/clock.h"
 #include "telemetry/internal/event_history.h"
+#include "telemetry/line_writer.h"
 
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <ctime>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace heatherdrift {
 
@@ -20,9 +25,15 @@
         { log_event::node_stopped, "node_stopped", log_level::info, "The process ends with nothing in progress." },
         { log_event::settings_rejected, "settings_rejected", log_level::error,
             "The settings file has an error; nothing was started." },
+        { log_event::settings_reloaded, "settings_reloaded", log_level::info,
+            "The settings file was read again." },
         { log_event::member_registered, "member_registered", log_level::info,
             "The instance wrote its membership row." },
         { log_event::member_left, "member_left", log_level::info, "The instance marked its membership row as left." },
+        { log_event::member_changed, "member_changed", log_level::info,
+            "Another node's row changed: its backend server, address or state." },
+        { log_event::member_removed, "member_removed", log_level::info,
+            "Another node's row was removed." },
         { log_event::lease_acquired, "lease_acquired", log_level::info, "A majority of witnesses granted the lease." },
         { log_event::lease_lost, "lease_lost", log_level::warning,
             "The lease ended; owned keys are refused until it is renewed." },
@@ -43,6 +54,14 @@
             "The instance takes no new partitions and hands over its own." },
         { log_event::drain_finished, "drain_finished", log_level::info,
             "The instance owns no partition and has no request in progress." },
+        { log_event::range_map_changed, "range_map_changed", log_level::info,
+            "A newer range map is known; who wrote it, and why if it was this node." },
+        { log_event::range_map_write_failed, "range_map_write_failed", log_level::warning,
+            "The store did not confirm a change of the range map." },
+        { log_event::holds_renewed, "holds_renewed", log_level::info,
+            "The backend server is given keys that it did not hold before, or fewer." },
+        { log_event::holds_not_renewed, "holds_not_renewed", log_level::warning,
+            "A heartbeat renewed no holds, since the range map is not confirmed." },
         { log_event::configuration_applied, "configuration_applied", log_level::info,
             "A newer configuration is in force on this node." },
         { log_event::configuration_rejected, "configuration_rejected", log_level::error,
@@ -54,15 +73,29 @@
             "A write with a lost answer was read back." },
         { log_event::peer_message_rejected, "peer_message_rejected", log_level::warning,
             "A control message could not be decoded; its connection was closed." },
+        { log_event::peer_lost, "peer_lost", log_level::warning,
+            "Another node does not answer; its work goes elsewhere." },
+        { log_event::peer_regained, "peer_regained", log_level::info,
+            "Another node answers again." },
         { log_event::backend_announced, "backend_announced", log_level::info,
             "The backend server beside this process announced itself." },
         { log_event::backend_lost, "backend_lost", log_level::warning,
             "The backend server does not answer; its partitions are handed over." },
         { log_event::backend_recovered, "backend_recovered", log_level::info, "The backend server answers again." },
+        { log_event::announcement_rejected, "announcement_rejected", log_level::warning,
+            "A heartbeat could not be read or names another backend server." },
+        { log_event::announcement_outdated, "announcement_outdated", log_level::info,
+            "A heartbeat is older than one that was taken." },
         { log_event::request_quarantined, "request_quarantined", log_level::warning,
             "A request that crashed backend servers is refused from now on." },
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", log_level::warning,
             "An answer did not belong to its request and was dropped." },
+        { log_event::request_refused, "request_refused", log_level::warning,
+            "A caller was told that its request has not run." },
+        { log_event::request_failed, "request_failed", log_level::warning,
+            "A caller got a failure made by this node." },
+        { log_event::request_abandoned, "request_abandoned", log_level::info,
+            "A caller left before its answer." },
     };
 
     const log_event_definition& definitionOf(log_event event)
@@ -97,13 +130,13 @@
     class rate_limiter {
     public:
         /// Lines left out since the last one if this one may be written, otherwise -1.
-        int admit(log_event event, time_point now)
+        int admit(log_event event, int burst, time_point now)
         {
             std::lock_guard lock(m_mutex);
             auto& window = m_windows[event];
             if (now >= window.end)
                 window = { now + std::chrono::seconds(logWindowSeconds), 0, window.leftOut };
-            if (window.lines >= logBurst) {
+            if (window.lines >= burst) {
                 ++window.leftOut;
                 return -1;
             }
@@ -122,6 +155,60 @@
         return value;
     }
 
+    /// Set once by startStructuredLogging().
+    struct structured_log {
+        line_writer writer;
+        std::string source;
+        log_level least;
+        int linesPerWindow;
+    };
+
+    std::unique_ptr<structured_log>& structuredLog()
+    {
+        static std::unique_ptr<structured_log> value;
+        return value;
+    }
+
+    std::string_view nameOf(log_level level)
+    {
+        switch (level) {
+        case log_level::info:
+            return "info";
+        case log_level::warning:
+            return "warning";
+        case log_level::error:
+            break;
+        }
+        return "error";
+    }
+
+    std::string utcTime()
+    {
+        timespec now {};
+        clock_gettime(CLOCK_REALTIME, &now);
+        tm parts {};
+        gmtime_r(&now.tv_sec, &parts);
+        char text[64];
+        const auto length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+        std::snprintf(text + length, sizeof(text) - length, ".%03ldZ", now.tv_nsec / 1000000);
+        return text;
+    }
+
+    void writeStructured(structured_log& log, const log_event_definition& definition,
+        std::initializer_list<log_field> fields, int leftOut)
+    {
+        if (definition.level < log.least)
+            return;
+        nlohmann::ordered_json line { { "time", utcTime() }, { "level", nameOf(definition.level) },
+            { "number", static_cast<int>(definition.event) }, { "event", definition.name },
+            { "instance", log.source } };
+        for (const auto& field : fields)
+            line[std::string(field.name)] = field.value;
+        if (leftOut > 0)
+            line["left_out"] = leftOut;
+        log.writer.write(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    }
+
     std::string formatLine(const log_event_definition& definition, std::initializer_list<log_field> fields, int leftOut)
     {
         std::string line
@@ -155,13 +242,24 @@
     log4cplus::Logger::getRoot().setLogLevel(toLibraryLevel(least));
 }
 
+void startStructuredLogging(log_level least, const std::string& source, int linesPerWindow)
+{
+    constexpr std::size_t mostBufferedBytes = 64 * 1024; // About 300 lines while the reader is slow.
+    structuredLog() = std::make_unique<structured_log>(
+        structured_log { line_writer(STDOUT_FILENO, mostBufferedBytes), source, least, linesPerWindow });
+}
+
 void logEvent(log_event event, std::initializer_list<log_field> fields)
 {
     static rate_limiter limiter;
     const auto& definition = definitionOf(event);
-    const int leftOut = limiter.admit(event, boot_clock::now());
+    auto* structured = structuredLog().get();
+    const int burst = structured ? structured->linesPerWindow : logBurst;
+    const int leftOut = limiter.admit(event, burst, boot_clock::now());
     if (leftOut < 0)
         return;
+    if (structured)
+        return writeStructured(*structured, definition, fields, leftOut);
     history().add(event, fields);
     const auto level = toLibraryLevel(definition.level);
     auto logger = log4cplus::Logger::getRoot();
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -41,6 +41,20 @@
     backend_recovered = 1803,
     request_quarantined = 1901,
     foreign_answer_dropped = 1902,
+    request_refused = 1911,
+    request_failed = 1912,
+    request_abandoned = 1913,
+    range_map_changed = 1451,
+    range_map_write_failed = 1452,
+    holds_renewed = 1453,
+    holds_not_renewed = 1454,
+    member_changed = 1103,
+    member_removed = 1104,
+    announcement_rejected = 1804,
+    announcement_outdated = 1805,
+    settings_reloaded = 1005,
+    peer_lost = 1702,
+    peer_regained = 1703,
 };
 
 enum class log_level { info, warning, error };
@@ -62,6 +76,9 @@
 
 /// Sends log lines to standard error. Call once per process.
 void startLogging(log_level least);
+/// Sends log lines as JSON objects to standard output, never waiting for its reader. Call once per process, instead of
+/// startLogging(). linesPerWindow bounds each event as logBurst does otherwise.
+void startStructuredLogging(log_level least, const std::string& source, int linesPerWindow);
 
 /// Writes one line. At most logBurst lines of one event go out in logWindow; the next line after that tells how many
 /// were left out. May be called from any thread.
