--- a/src/gate/internal/slot_queue.cpp
+++ b/src/gate/internal/slot_queue.cpp
@@ -53,10 +53,7 @@
 
 duration slot_queue::expectedWait() const { return waitBehind(m_waiting.size()); }
 
-double slot_queue::load() const
-{
-    return static_cast<double>(m_running.size() + m_waiting.size()) / m_settings.slots;
-}
+double slot_queue::load() const { return static_cast<double>(m_running.size() + m_waiting.size()) / m_settings.slots; }
 
 bool slot_queue::goesBefore(const queued_request& left, const queued_request& right, time_point now) const
 {
@@ -74,14 +71,24 @@
         std::ranges::count_if(m_waiting, [&](const auto& other) { return goesBefore(other, request, now); }));
 }
 
+bool slot_queue::isWorthWaiting(const queued_request& request, time_point now) const
+{
+    const auto needed = serviceTime(request.kind);
+    const auto end = now + waitBehind(countAhead(request, now)) + needed;
+    if (end <= request.objective)
+        return true;
+    // Later requests that can meet their objective overtake this one, so it waits only behind a short queue.
+    const bool isShort = request.isNested || m_waiting.size() < static_cast<std::size_t>(m_settings.slots);
+    return isShort && end + needed / 2 <= request.deadline;
+}
+
 queue_decision slot_queue::submit(const queued_request& request, time_point now)
 {
     if (m_waiting.empty() && m_running.size() < static_cast<std::size_t>(m_settings.slots)) {
         m_running[request.id] = { request.kind, now };
         return queue_decision::run;
     }
-    const auto end = now + waitBehind(countAhead(request, now)) + serviceTime(request.kind);
-    if (end > request.deadline)
+    if (!isWorthWaiting(request, now))
         return queue_decision::refuse;
     m_waiting.push_back(request);
     return queue_decision::wait;
--- a/src/gate/slot_queue.h
+++ b/src/gate/slot_queue.h
@@ -65,6 +65,7 @@
     duration serviceTime(const std::string& kind) const;
     /// Share of the slots in use or waited for.
     double load() const;
+    duration meanServiceTime() const { return m_meanServiceTime; }
 
 private:
     struct running_request {
@@ -73,6 +74,7 @@
     };
 
     duration waitBehind(std::size_t ahead) const;
+    bool isWorthWaiting(const queued_request&, time_point now) const;
     bool goesBefore(const queued_request&, const queued_request&, time_point now) const;
     std::size_t countAhead(const queued_request&, time_point now) const;
     void learn(const std::string& kind, duration);
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -43,8 +43,7 @@
 
 } // namespace
 
-client_connection::client_connection(
-    event_base* base, const endpoint& server, const http_client_options& options)
+client_connection::client_connection(event_base* base, const endpoint& server, const http_client_options& options)
     : m_peerName(toString(server))
     , m_acceptsUnframed(options.acceptsUnframedAnswers)
     , m_mostIdleTime(options.mostIdleTime)
--- a/src/http/internal/message_parser.cpp
+++ b/src/http/internal/message_parser.cpp
@@ -102,8 +102,8 @@
     const bool hasLength = m_native.content_length != ULLONG_MAX;
     if (hasLength)
         m_announcedLength = m_native.content_length;
-    m_isUnframed = m_native.type == HTTP_RESPONSE && !hasLength && !(m_native.flags & F_CHUNKED)
-        && !hasNoBody(status()) && !m_expectsNoBody;
+    m_isUnframed = m_native.type == HTTP_RESPONSE && !hasLength && !(m_native.flags & F_CHUNKED) && !hasNoBody(status())
+        && !m_expectsNoBody;
     if (!m_handlers.onHead())
         return -1;
     return m_expectsNoBody ? 1 : 0;
@@ -143,9 +143,6 @@
     return error != HPE_OK && error != HPE_PAUSED;
 }
 
-std::string_view message_parser::method() const
-{
-    return http_method_str(static_cast<http_method>(m_native.method));
-}
+std::string_view message_parser::method() const { return http_method_str(static_cast<http_method>(m_native.method)); }
 
 } // namespace heatherdrift
--- a/src/http/internal/server_connection.cpp
+++ b/src/http/internal/server_connection.cpp
@@ -25,12 +25,13 @@
     : m_context(std::move(context))
     , m_stream(bufferevent_socket_new(m_context->base, descriptor, BEV_OPT_CLOSE_ON_FREE))
     , m_parser(message_parser::side::requests, m_context->limits.headerBytes,
-          { [this] { return acceptHead(); }, [this](std::string_view part) {
-               if (m_body.size() + part.size() > m_context->limits.bodyBytes)
-                   m_isBodyTooLarge = true;
-               else
-                   m_body.append(part);
-           },
+          { [this] { return acceptHead(); },
+              [this](std::string_view part) {
+                  if (m_body.size() + part.size() > m_context->limits.bodyBytes)
+                      m_isBodyTooLarge = true;
+                  else
+                      m_body.append(part);
+              },
               [this] { return acceptRequest(); } })
     , m_idle(m_context->base, [this] { close(); })
 {
@@ -40,8 +41,8 @@
 
 void server_connection::open()
 {
-    bufferevent_setcb(m_stream.get(), &server_connection::readable, &server_connection::written,
-        &server_connection::changed, this);
+    bufferevent_setcb(
+        m_stream.get(), &server_connection::readable, &server_connection::written, &server_connection::changed, this);
     bufferevent_setwatermark(m_stream.get(), EV_READ, 0, pipelinedBytes);
     bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
     restartIdleTimer();
@@ -197,7 +198,10 @@
     m_idle.startOnce(lingerTime);
 }
 
-void server_connection::restartIdleTimer() { m_idle.startOnce(std::chrono::seconds(m_context->limits.idleTimeoutSeconds)); }
+void server_connection::restartIdleTimer()
+{
+    m_idle.startOnce(std::chrono::seconds(m_context->limits.idleTimeoutSeconds));
+}
 
 void server_connection::readable(bufferevent* stream, void* argument)
 {
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -8,10 +8,7 @@
 
 namespace {
 
-    std::string_view reasonPhrase(int status)
-    {
-        return http_status_str(static_cast<http_status>(status));
-    }
+    std::string_view reasonPhrase(int status) { return http_status_str(static_cast<http_status>(status)); }
 
     std::string hexadecimal(std::size_t value)
     {
--- a/src/mesh/forward_protocol.h
+++ b/src/mesh/forward_protocol.h
@@ -29,6 +29,8 @@
 struct gate_load {
     life_name life;
     double load = 0; ///< Share of the slots in use or waited for.
+    double demand = 0; ///< Slots that the requests for its keys need by their rate and service time, per slot.
+    std::int64_t mapVersion = 0; ///< Of the range map that the gate knows.
     bool isDraining = false;
 
     bool operator==(const gate_load&) const = default;
--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -8,12 +8,14 @@
 
     constexpr int statusOk = 200;
     constexpr int statusBadRequest = 400;
+    /// A heartbeat has to be answered within a second; keys that are granted with its answer need no further one.
+    constexpr auto mostAnswerDelay = std::chrono::milliseconds(500);
     /// Way of a request from the gate to the backend server at the end of the drain time.
     constexpr auto drainMargin = std::chrono::milliseconds(100);
 
 } // namespace
 
-announcement_service::announcement_service(const mesh_settings& settings, const platform_port& port,
+announcement_service::announcement_service(event_base* base, const mesh_settings& settings, const platform_port& port,
     gate_service& gate, ownership& ownership, std::function<bool()> isPartitioned, std::function<void()> onChanged)
     : m_settings(settings)
     , m_port(port)
@@ -21,6 +23,7 @@
     , m_ownership(ownership)
     , m_isPartitioned(std::move(isPartitioned))
     , m_onChanged(std::move(onChanged))
+    , m_answerHeld(base, [this] { answerHeld(); })
 {
 }
 
@@ -75,10 +78,34 @@
     const auto& announcement = decoded.value();
     if (isOlder(announcement))
         return exchange->respond(m_port.encodeGrant({}));
+    answerHeld();
     adopt(announcement);
-    const auto grant = m_isPartitioned() ? m_ownership.answer(announcement, now) : hold_grant {};
-    exchange->respond(m_port.encodeGrant(grant));
     m_onChanged();
+    if (!m_isPartitioned())
+        return exchange->respond(m_port.encodeGrant({}));
+    m_held = std::move(exchange);
+    m_heldSince = now;
+    m_ownership.report(announcement);
+    if (m_ownership.awaitsGrant())
+        m_answerHeld.startOnce(mostAnswerDelay);
+    else
+        answerHeld();
+}
+
+void announcement_service::ownershipChanged()
+{
+    if (m_held && !m_ownership.awaitsGrant())
+        answerHeld();
+}
+
+void announcement_service::answerHeld()
+{
+    if (!m_held || std::exchange(m_isAnswering, true))
+        return;
+    m_answerHeld.stop();
+    const auto exchange = std::exchange(m_held, nullptr);
+    exchange->respond(m_port.encodeGrant(m_ownership.grant(m_heldSince)));
+    m_isAnswering = false;
 }
 
 void announcement_service::backendRefused()
--- a/src/mesh/internal/announcement_service.h
+++ b/src/mesh/internal/announcement_service.h
@@ -11,10 +11,12 @@
 /// Takes the heartbeats of the backend server beside this node and its notice that it leaves.
 class announcement_service {
 public:
-    announcement_service(const mesh_settings&, const platform_port&, gate_service&, ownership&,
+    announcement_service(event_base*, const mesh_settings&, const platform_port&, gate_service&, ownership&,
         std::function<bool()> isPartitioned, std::function<void()> onChanged);
 
     void handle(http_exchange_ptr);
+    /// Keys may be granted or taken away now.
+    void ownershipChanged();
     /// Nothing listens at the backend server's address any more.
     void backendRefused();
 
@@ -27,6 +29,7 @@
     bool isOlder(const backend_announcement&) const;
     void adopt(const backend_announcement&);
     void startLeaving();
+    void answerHeld();
 
     const mesh_settings& m_settings;
     const platform_port& m_port;
@@ -37,6 +40,10 @@
     std::optional<backend_announcement> m_current;
     bool m_isLeaving = false;
     bool m_hasEnded = false;
+    http_exchange_ptr m_held; ///< Heartbeat whose answer waits for keys that are about to be granted.
+    time_point m_heldSince {};
+    timer m_answerHeld;
+    bool m_isAnswering = false;
 };
 
 } // namespace heatherdrift
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -133,6 +133,7 @@
         return finished(std::move(lost));
     }
     m_context.directory.answered(m_attempt->node, answer.value().load, now);
+    m_context.noticeMap(m_request.service, m_attempt->node, answer.value().load.mapVersion);
     finished(std::move(answer).value());
 }
 
@@ -156,8 +157,11 @@
 {
     if (now + leastTimeForRetry >= m_request.deadline)
         return false;
-    if (answer.outcome == verdict::not_run && !answer.reachedBackend)
-        return m_refusals < mostRefusals;
+    if (answer.outcome == verdict::not_run && !answer.reachedBackend) {
+        // The owner of a key is the only one that could run the request.
+        const bool isFinal = m_request.key && answer.reason == error_code::overloaded;
+        return !isFinal && m_refusals < mostRefusals;
+    }
     if (answer.outcome != verdict::not_run && !m_request.isIdempotent)
         return false;
     return m_arrivals < m_mostAttempts && m_owner.budget(m_request.service).tryRetry(now);
--- a/src/mesh/internal/entry_service.cpp
+++ b/src/mesh/internal/entry_service.cpp
@@ -75,8 +75,7 @@
     request.deadline = now + callerTimeout - answerMargin;
     if (route->timeout > duration::zero())
         request.deadline = std::min(request.deadline, now + route->timeout);
-    request.objective
-        = route->latencyObjective > duration::zero() ? now + route->latencyObjective : request.deadline;
+    request.objective = route->latencyObjective > duration::zero() ? now + route->latencyObjective : request.deadline;
     request.priority = route->priority;
     request.isIdempotent = route->isIdempotent;
     const auto* service = m_context.routes.service(request.service);
--- a/src/mesh/internal/entry_service.h
+++ b/src/mesh/internal/entry_service.h
@@ -22,6 +22,8 @@
     mesh_directory& directory;
     gate_service& gate;
     std::function<const range_map*(const std::string& service)> map;
+    /// A gate of the service knows a range map of this version.
+    std::function<void(const std::string& service, const instance_id&, row_version)> noticeMap;
 };
 
 /// Takes requests from callers, sends each to the gate of a backend server that may run it, and answers the caller.
--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -23,6 +23,8 @@
     constexpr const char* retryAfterHeader = "heatherdrift-retry-after-us";
     constexpr const char* lifeHeader = "heatherdrift-life";
     constexpr const char* loadHeader = "heatherdrift-load-permille";
+    constexpr const char* demandHeader = "heatherdrift-demand-permille";
+    constexpr const char* mapHeader = "heatherdrift-range-map";
     constexpr const char* drainingHeader = "heatherdrift-draining";
     constexpr double permille = 1000;
     constexpr int statusRefused = 503;
@@ -121,6 +123,10 @@
         headers.add(reachedHeader, "1");
     headers.add(lifeHeader, answer.load.life);
     headers.add(loadHeader, std::to_string(static_cast<int>(answer.load.load * permille)));
+    if (answer.load.mapVersion > 0) {
+        headers.add(demandHeader, std::to_string(static_cast<int>(answer.load.demand * permille)));
+        headers.add(mapHeader, std::to_string(answer.load.mapVersion));
+    }
     if (answer.load.isDraining)
         headers.add(drainingHeader, "1");
     return out;
@@ -140,6 +146,8 @@
     answer.reachedBackend = !reader.text(reachedHeader).empty();
     answer.load.life = reader.text(lifeHeader);
     answer.load.load = static_cast<double>(reader.number(loadHeader).value_or(0)) / permille;
+    answer.load.demand = static_cast<double>(reader.number(demandHeader).value_or(0)) / permille;
+    answer.load.mapVersion = reader.number(mapHeader).value_or(0);
     answer.load.isDraining = !reader.text(drainingHeader).empty();
     return answer;
 }
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -6,7 +6,7 @@
 
     constexpr std::size_t answerLimitBytes = 32u << 20; ///< Answers are passed on whole; this bounds their memory.
     constexpr auto sweepInterval = std::chrono::milliseconds(20); ///< Delay with which a hopeless request is refused.
-    constexpr auto keyLoadMemory = std::chrono::seconds(2); ///< Hot keys change within seconds.
+    constexpr auto keyLoadMemory = std::chrono::milliseconds(1500); ///< Hot keys change within seconds.
     constexpr auto mostIdleTime = std::chrono::seconds(8); ///< Unless the backend server's Keep-Alive says less.
     constexpr auto retryAfterKeyMove = std::chrono::milliseconds(300); ///< A move takes about a heartbeat interval.
     constexpr auto leastRetryAfter = std::chrono::milliseconds(50);
@@ -25,8 +25,7 @@
 
 } // namespace
 
-gate_service::gate_service(
-    event_base* base, const mesh_settings& settings, const platform_port& port, gate_hooks hooks)
+gate_service::gate_service(event_base* base, const mesh_settings& settings, const platform_port& port, gate_hooks hooks)
     : m_base(base)
     , m_settings(settings)
     , m_port(port)
@@ -57,7 +56,15 @@
 
 void gate_service::closeAt(time_point at) { m_closesAt = std::min(m_closesAt, at); }
 
-gate_load gate_service::load() const { return { m_backend.life, m_queue.load(), isDraining() }; }
+gate_load gate_service::load() const
+{
+    gate_load load { m_backend.life, m_queue.load(), 0, m_hooks.mapVersion(), isDraining() };
+    if (load.mapVersion == 0)
+        return load;
+    const double perSecond = m_keyLoad.total(boot_clock::now()) / std::chrono::duration<double>(keyLoadMemory).count();
+    load.demand = perSecond * std::chrono::duration<double>(m_queue.meanServiceTime()).count() / m_queue.slots();
+    return load;
+}
 
 gate_answer gate_service::refusal(error_code reason) const
 {
--- a/src/mesh/internal/member.cpp
+++ b/src/mesh/internal/member.cpp
@@ -12,10 +12,11 @@
 
 std::string toJson(const mesh_member& member)
 {
-    return json { { "instance", member.node }, { "availability_zone", member.zone },
-        { "address", toString(member.address) }, { "service", member.service }, { "life", member.life },
-        { "backend_server", member.backendId }, { "slots", member.slots }, { "draining", member.isDraining } }
-        .dump();
+    return json {
+        { "instance", member.node }, { "availability_zone", member.zone }, { "address", toString(member.address) },
+        { "service", member.service }, { "life", member.life }, { "backend_server", member.backendId },
+        { "slots", member.slots }, { "draining", member.isDraining }
+    }.dump();
 }
 
 result<mesh_member> parseMember(std::string_view text)
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -105,7 +105,8 @@
 {
     if (life.empty())
         return nullptr;
-    const auto found = std::ranges::find_if(m_peers, [&](const auto& entry) { return entry.second.member.life == life; });
+    const auto found
+        = std::ranges::find_if(m_peers, [&](const auto& entry) { return entry.second.member.life == life; });
     return found == m_peers.end() ? nullptr : &found->second;
 }
 
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -5,6 +5,7 @@
 #include "mesh/internal/gate_service.h"
 #include "mesh/internal/mesh_directory.h"
 #include "mesh/internal/ownership.h"
+#include "mesh/internal/range_replicas.h"
 #include "mesh/internal/table_watcher.h"
 #include "telemetry/log_event.h"
 
@@ -15,9 +16,8 @@
 
 namespace {
 
-    constexpr const char* tableName = "heatherdrift";
-    constexpr std::string_view memberPrefix = "member/";
-    constexpr std::string_view mapPrefix = "map/";
+    constexpr const char* memberTable = "heatherdrift-members"; ///< Keys are instances.
+    constexpr const char* rangeTable = "heatherdrift-ranges"; ///< Keys are services.
     constexpr const char* pingTarget = "/heatherdrift/ping";
     constexpr auto memberWriteTimeout = std::chrono::milliseconds(1500);
     constexpr auto memberWriteBackoff = std::chrono::milliseconds(300);
@@ -34,8 +34,8 @@
 
     class mesh_node_impl : public mesh_node {
     public:
-        mesh_node_impl(event_base* base, const mesh_settings& settings, platform_port port,
-            std::unique_ptr<watched_store> store)
+        mesh_node_impl(
+            event_base* base, const mesh_settings& settings, platform_port port, std::unique_ptr<watched_store> store)
             : m_base(base)
             , m_settings(settings)
             , m_port(std::move(port))
@@ -43,21 +43,33 @@
             , m_directory(base, m_settings)
             , m_gate(base, m_settings, m_port,
                   { [this](key_number key) { return m_ownership.access(key); },
-                      [this] { m_announcements.backendRefused(); } })
-            , m_ownership(base, m_settings, *m_store, { tableName, std::string(mapPrefix) + m_settings.service },
+                      [this] { return m_ownership.version(); }, [this] { m_announcements.backendRefused(); } })
+            , m_ownership(base, m_settings, *m_store, { rangeTable, m_settings.service },
                   { [this] { return candidates(); }, [this]() -> const key_load& { return m_gate.keyLoad(); },
-                      [this] { m_gate.keysChanged(); } })
-            , m_announcements(m_settings, m_port, m_gate, m_ownership, [this] { return isPartitioned(); },
+                      [this] {
+                          m_gate.keysChanged();
+                          m_announcements.ownershipChanged();
+                      } })
+            , m_announcements(
+                  base, m_settings, m_port, m_gate, m_ownership, [this] { return isPartitioned(); },
                   [this] { publish(); })
             , m_entry({ base, m_settings, m_port, m_routes, m_directory, m_gate,
-                  [this](const std::string& service) { return findMap(service); } })
+                  [this](const std::string& service) { return findMap(service); },
+                  [this](const std::string& service, const instance_id& node, row_version version) {
+                      if (service != m_settings.service)
+                          m_replicas.notice(service, node, version);
+                  } })
+            , m_replicas(m_directory)
             , m_configurationWatcher(base, *m_store, m_port.configurationRow.table,
                   { [this](const row_change& row) { configurationChanged(row); }, nullptr, nullptr })
-            , m_tableWatcher(base, *m_store, tableName,
-                  { [this](const row_change& row) { rowChanged(row); }, [this] { tableRead(); },
+            , m_memberWatcher(base, *m_store, memberTable,
+                  { [this](const row_change& row) { memberChanged(row); }, [this] { m_areMembersRead = true; },
                       [](bool isAvailable) {
                           logEvent(isAvailable ? log_event::store_available : log_event::store_unavailable);
                       } })
+            , m_rangeWatcher(base, *m_store, rangeTable,
+                  { [this](const row_change& row) { rangesChanged(row); }, [this] { m_ownership.tableRead(); },
+                      nullptr })
             , m_publishRetry(base, [this] { publish(); })
             , m_ping(base, [this] { pingPeers(); })
             , m_stopPoll(base, [this] { stopIfDone(); })
@@ -74,13 +86,17 @@
             };
             http_server_limits entryLimits;
             entryLimits.pipelineDepth = pipelineDepth;
-            BOOST_OUTCOME_TRY(bind(m_settings.forward, forwardLimits,
+            BOOST_OUTCOME_TRY(bind(
+                m_settings.forward, forwardLimits,
                 [this](http_exchange_ptr exchange) { handleForward(std::move(exchange)); }, m_forwardServer));
-            BOOST_OUTCOME_TRY(bind(m_settings.entry, entryLimits,
+            BOOST_OUTCOME_TRY(bind(
+                m_settings.entry, entryLimits,
                 [this](http_exchange_ptr exchange) { m_entry.handle(std::move(exchange)); }, m_entryServer));
-            BOOST_OUTCOME_TRY(bind(m_settings.readiness, {},
-                [this](const http_exchange_ptr& exchange) { handleReadiness(exchange); }, m_readinessServer));
-            return bind(m_settings.announcements, {},
+            BOOST_OUTCOME_TRY(bind(
+                m_settings.readiness, {}, [this](const http_exchange_ptr& exchange) { handleReadiness(exchange); },
+                m_readinessServer));
+            return bind(
+                m_settings.announcements, {},
                 [this](http_exchange_ptr exchange) { m_announcements.handle(std::move(exchange)); },
                 m_announcementServer);
         }
@@ -88,7 +104,7 @@
         void run() override
         {
             m_configurationWatcher.start();
-            m_tableWatcher.start();
+            m_memberWatcher.start();
             m_ping.startRepeating(pingInterval);
             logEvent(log_event::node_started, { { "instance", m_settings.node } });
             event_base_dispatch(m_base);
@@ -114,12 +130,11 @@
             return service && service->isPartitioned;
         }
 
-        const range_map* findMap(const std::string& service) const
+        const range_map* findMap(const std::string& service)
         {
-            if (service == m_settings.service && m_ownership.hasMap())
-                return &m_ownership.map();
-            const auto found = m_maps.find(service);
-            return found == m_maps.end() ? nullptr : &found->second;
+            if (service == m_settings.service)
+                return m_ownership.version() > 0 ? &m_ownership.map() : nullptr;
+            return m_replicas.find(service, boot_clock::now());
         }
 
         std::vector<owner_candidate> candidates()
@@ -130,7 +145,7 @@
                 return out;
             for (const auto* peer : m_directory.available(m_settings.service, now)) {
                 const bool isSelf = peer->member.node == m_settings.node;
-                const double load = isSelf ? m_gate.load().load : peer->load.load;
+                const double load = isSelf ? m_gate.load().demand : peer->load.demand;
                 const bool isRecent = isSelf || (peer->loadAt != time_point::min() && now - peer->loadAt < recentLoad);
                 out.push_back({ peer->member.node, { peer->member.life, load }, isRecent });
             }
@@ -160,25 +175,15 @@
             startOwnershipIfDue();
         }
 
-        void rowChanged(const row_change& row)
+        void rangesChanged(const row_change& row)
         {
-            const std::string_view key = row.key.key;
-            if (key.starts_with(memberPrefix))
-                return memberChanged(instance_id(key.substr(memberPrefix.size())), row);
-            if (!key.starts_with(mapPrefix))
-                return;
-            const std::string service(key.substr(mapPrefix.size()));
-            if (service == m_settings.service)
-                return m_ownership.rowChanged(row);
-            if (!row.value)
-                return;
-            auto map = range_map::fromJson(*row.value);
-            if (map.has_value())
-                m_maps.insert_or_assign(service, std::move(map).value());
+            if (row.key.key == m_settings.service)
+                m_ownership.rowChanged(row);
         }
 
-        void memberChanged(const instance_id& node, const row_change& row)
+        void memberChanged(const row_change& row)
         {
+            const instance_id& node = row.key.key;
             if (node == m_settings.node)
                 return;
             if (!row.value)
@@ -188,17 +193,12 @@
                 m_directory.update(member.value(), boot_clock::now());
         }
 
-        void tableRead()
-        {
-            m_isTableRead = true;
-            m_ownership.tableRead();
-            startOwnershipIfDue();
-        }
-
         void startOwnershipIfDue()
         {
-            if (m_isTableRead && isPartitioned() && !std::exchange(m_isOwnershipStarted, true))
-                m_ownership.start();
+            if (!isPartitioned() || std::exchange(m_isOwnershipStarted, true))
+                return;
+            m_rangeWatcher.start();
+            m_ownership.start();
         }
 
         mesh_member ownMember() const
@@ -226,7 +226,7 @@
                 return;
             m_isPublishing = true;
             conditional_write change;
-            change.changes.push_back({ { tableName, std::string(memberPrefix) + m_settings.node }, 0, toJson(member) });
+            change.changes.push_back({ { memberTable, m_settings.node }, 0, toJson(member) });
             m_store->write(std::move(change), boot_clock::now() + memberWriteTimeout,
                 [this, member](const result<write_outcome>& outcome) {
                     m_isPublishing = false;
@@ -241,7 +241,7 @@
 
         void handleReadiness(const http_exchange_ptr& exchange)
         {
-            const bool isReady = m_routes.version() > 0 && m_isTableRead && !m_isStopping;
+            const bool isReady = m_routes.version() > 0 && m_areMembersRead && !m_isStopping;
             exchange->respond({ { isReady ? 200 : 503, {} }, "" });
         }
 
@@ -249,6 +249,9 @@
         {
             if (exchange->request().target == pingTarget)
                 return exchange->respond({});
+            if (exchange->request().target == range_replicas::target)
+                return exchange->respond(
+                    { { 200, {} }, toJson(versioned_ranges { m_ownership.version(), m_ownership.map() }) });
             auto request = decodeForward(exchange->request(), boot_clock::now());
             if (request.has_error())
                 return exchange->respond({ { 400, {} }, "" });
@@ -314,10 +317,11 @@
         ownership m_ownership;
         announcement_service m_announcements;
         entry_service m_entry;
-        std::map<std::string, range_map> m_maps; ///< Of other services.
+        range_replicas m_replicas;
         table_watcher m_configurationWatcher;
-        table_watcher m_tableWatcher;
-        bool m_isTableRead = false;
+        table_watcher m_memberWatcher;
+        table_watcher m_rangeWatcher; ///< Runs only if the service of this node is partitioned.
+        bool m_areMembersRead = false;
         bool m_isOwnershipStarted = false;
         std::optional<mesh_member> m_published;
         bool m_isPublishing = false;
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -21,14 +21,16 @@
     /// A backend server that restarts is given its keys back by its own node within this time.
     constexpr auto strayPatience = std::chrono::milliseconds(700);
     constexpr auto shedInterval = std::chrono::milliseconds(1500); ///< A move takes effect after about a second.
+    /// Owners release keys within about this time unless they are lost.
+    constexpr auto usualReleaseTime = std::chrono::milliseconds(2500);
     constexpr std::size_t mostSeen = 4096;
 
     hold_terms termsOf(const mesh_settings& settings) { return { leaseTime, settings.longestHold, 0.02 }; }
 
 } // namespace
 
-ownership::ownership(event_base* base, const mesh_settings& settings, watched_store& store, row_key mapRow,
-    ownership_hooks hooks)
+ownership::ownership(
+    event_base* base, const mesh_settings& settings, watched_store& store, row_key mapRow, ownership_hooks hooks)
     : m_settings(settings)
     , m_store(store)
     , m_row(std::move(mapRow))
@@ -70,14 +72,28 @@
     m_hooks.onChanged();
 }
 
+bool ownership::isGrantNear(const owned_range& range) const
+{
+    const auto seen = m_seenAt.find(range.fence);
+    return range.releasing.empty() || (seen != m_seenAt.end() && boot_clock::now() - seen->second < usualReleaseTime);
+}
+
+bool ownership::awaitsGrant() const
+{
+    return std::ranges::any_of(m_map.ranges(), [&](const auto& range) {
+        return range.owner == m_keeper.life() && !range.releasing.empty() && isGrantNear(range);
+    });
+}
+
 key_access ownership::access(key_number key) const
 {
     if (m_keeper.mayServe(key, boot_clock::now()))
         return key_access::serve;
-    return m_map.find(key).owner == m_keeper.life() ? key_access::wait : key_access::refuse;
+    const auto& range = m_map.find(key);
+    return range.owner == m_keeper.life() && isGrantNear(range) ? key_access::wait : key_access::refuse;
 }
 
-hold_grant ownership::answer(const backend_announcement& announcement, time_point receivedAt)
+void ownership::report(const backend_announcement& announcement)
 {
     const auto life = announcement.life();
     if (life != m_keeper.life()) {
@@ -87,8 +103,13 @@
         m_keeper.startLife(life);
         m_isDraining = false;
     }
-    const auto grant = m_keeper.answer({ life, announcement.holds, announcement.released }, receivedAt);
+    m_keeper.report({ life, announcement.holds, announcement.released });
     propose();
+}
+
+hold_grant ownership::grant(time_point receivedAt)
+{
+    const auto grant = m_keeper.grant(receivedAt);
     m_hooks.onChanged();
     return grant;
 }
@@ -172,8 +193,8 @@
     const auto self = std::ranges::find(candidates, m_settings.node, &owner_candidate::node);
     if (self == candidates.end())
         return map;
-    const bool hasStrays = std::ranges::any_of(
-        map.ranges(), [&](const auto& range) { return !isOwnerKnown(range.owner, candidates); });
+    const bool hasStrays
+        = std::ranges::any_of(map.ranges(), [&](const auto& range) { return !isOwnerKnown(range.owner, candidates); });
     if (!hasStrays) {
         m_strayedSince = time_point::max();
         return map;
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -37,16 +37,19 @@
     void start();
 
     const range_map& map() const { return m_map; }
-    bool hasMap() const { return m_version > 0; }
+    row_version version() const { return m_version; }
     key_access access(key_number) const;
-    hold_grant answer(const backend_announcement&, time_point receivedAt);
+    /// Takes in what the backend server says of its keys.
+    void report(const backend_announcement&);
+    /// What the backend server is to hold, as the answer to its last report.
+    hold_grant grant(time_point receivedAt);
     /// The backend server has ended for certain.
     void backendEnded(const life_name&);
     /// The backend server leaves; its keys go to the others.
     void startDrain();
     void distrustGrants() { m_keeper.distrustGrants(); }
     /// Whether keys are about to be granted to the backend server.
-    bool awaitsGrant() const { return m_keeper.awaitsRelease(); }
+    bool awaitsGrant() const;
 
 private:
     void adopt(const range_map&, row_version, std::optional<time_point> readAt);
@@ -61,6 +64,7 @@
     void confirmed(row_version, time_point sentAt, result<write_outcome>);
     void failed();
     void handleConflict(const write_outcome&, time_point sentAt);
+    bool isGrantNear(const owned_range&) const;
     bool isOwnerKnown(const life_name&, const std::vector<owner_candidate>&) const;
 
     const mesh_settings& m_settings;
--- /dev/null
+++ b/src/mesh/internal/range_replicas.cpp
@@ -0,0 +1,74 @@
+#include "mesh/internal/range_replicas.h"
+
+#include "base/json_reader.h"
+
+namespace heatherdrift {
+
+namespace {
+
+    constexpr auto fetchTimeout = std::chrono::milliseconds(300); ///< A slower node is not worth waiting for.
+    constexpr std::size_t answerLimitBytes = 4u << 20;
+
+} // namespace
+
+std::string toJson(const versioned_ranges& ranges)
+{
+    return json { { "version", ranges.version }, { "map", ranges.map.toJson() } }.dump();
+}
+
+result<versioned_ranges> parseVersionedRanges(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(document, parseJson(text, error_code::bad_request));
+    versioned_ranges out;
+    std::string map;
+    json_reader reader(document, "", error_code::bad_request);
+    reader.readInteger("version", out.version, { 1, INT64_MAX });
+    reader.readString("map", map);
+    BOOST_OUTCOME_TRY(reader.finish());
+    BOOST_OUTCOME_TRY(parsed, range_map::fromJson(map));
+    out.map = std::move(parsed);
+    return out;
+}
+
+range_replicas::range_replicas(mesh_directory& directory)
+    : m_directory(directory)
+{
+}
+
+const range_map* range_replicas::find(const std::string& service, time_point now)
+{
+    const auto found = m_known.find(service);
+    if (found != m_known.end())
+        return &found->second.map;
+    const auto available = m_directory.available(service, now);
+    if (!available.empty())
+        fetchFrom(service, available.front()->member.node);
+    return nullptr;
+}
+
+void range_replicas::notice(const std::string& service, const instance_id& node, row_version version)
+{
+    const auto found = m_known.find(service);
+    if (version > 0 && (found == m_known.end() || found->second.version < version))
+        fetchFrom(service, node);
+}
+
+void range_replicas::fetchFrom(const std::string& service, const instance_id& node)
+{
+    if (!m_fetching.insert(service).second)
+        return;
+    http_request request;
+    request.target = target;
+    fetch(m_directory.client(node), std::move(request), boot_clock::now() + fetchTimeout, answerLimitBytes,
+        [this, service](const result<http_response>& answer) {
+            m_fetching.erase(service);
+            if (answer.has_error() || answer.value().head.status != 200)
+                return;
+            auto ranges = parseVersionedRanges(answer.value().body);
+            auto& known = m_known[service];
+            if (ranges.has_value() && ranges.value().version > known.version)
+                known = std::move(ranges).value();
+        });
+}
+
+} // namespace heatherdrift
--- a/src/mesh/internal/table_watcher.cpp
+++ b/src/mesh/internal/table_watcher.cpp
@@ -15,8 +15,7 @@
 
 } // namespace
 
-table_watcher::table_watcher(
-    event_base* base, watched_store& store, std::string table, table_watcher_hooks hooks)
+table_watcher::table_watcher(event_base* base, watched_store& store, std::string table, table_watcher_hooks hooks)
     : m_store(store)
     , m_table(std::move(table))
     , m_hooks(std::move(hooks))
--- a/src/ranges/hold_keeper.h
+++ b/src/ranges/hold_keeper.h
@@ -71,8 +71,10 @@
     void startLife(const life_name&);
     const life_name& life() const { return m_life; }
 
-    /// Takes the report in and decides on the grant. The backend server is told the grant as the answer to its report.
-    hold_grant answer(const hold_report&, time_point receivedAt);
+    /// Takes in a report of the life; reports come in the order in which they were sent.
+    void report(const hold_report&);
+    /// What the backend server is told as the answer to its last report.
+    hold_grant grant(time_point receivedAt);
     /// Range map with what the backend server of this life holds no more; equal to the given one if that is nothing.
     range_map releaseUnheld(const range_map&, time_point now) const;
     /// Whether a request for the key may be sent to the backend server.
@@ -81,12 +83,9 @@
     void distrustGrants() { m_granted.clear(); }
     time_point holdEnd() const { return m_holdEnd; }
     bool hasGrants() const { return !m_granted.empty(); }
-    /// Whether some keys of the life wait for their earlier holders.
-    bool awaitsRelease() const;
 
 private:
     duration holdAt(time_point receivedAt) const;
-    void rememberReport(const hold_report&);
     bool isHeld(key_range) const;
 
     hold_terms m_terms;
--- a/src/ranges/internal/hold_keeper.cpp
+++ b/src/ranges/internal/hold_keeper.cpp
@@ -63,8 +63,10 @@
     return std::min(byClock, m_terms.longestHold);
 }
 
-void hold_keeper::rememberReport(const hold_report& report)
+void hold_keeper::report(const hold_report& report)
 {
+    if (report.life != m_life)
+        return;
     ++m_reportCount;
     m_reported = report.holds;
     for (const auto& range : report.released)
@@ -80,11 +82,8 @@
         m_released.erase(m_released.begin(), m_released.end() - mostRemembered);
 }
 
-hold_grant hold_keeper::answer(const hold_report& report, time_point receivedAt)
+hold_grant hold_keeper::grant(time_point receivedAt)
 {
-    if (report.life != m_life)
-        return {};
-    rememberReport(report);
     hold_grant grant;
     grant.hold = holdAt(receivedAt);
     if (grant.hold < shortestHold)
@@ -139,10 +138,4 @@
     return std::ranges::any_of(m_granted, [&](const auto& range) { return range.keys.contains(key); });
 }
 
-bool hold_keeper::awaitsRelease() const
-{
-    return std::ranges::any_of(
-        m_map.ranges(), [&](const auto& range) { return range.owner == m_life && !range.releasing.empty(); });
-}
-
 } // namespace heatherdrift
--- a/src/ranges/internal/range_planner.cpp
+++ b/src/ranges/internal/range_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <optional>
 
 namespace heatherdrift {
 
@@ -26,8 +27,8 @@
     range_map divide(const range_map& map, const std::vector<key_range>& ranges,
         const std::vector<range_candidate>& candidates, fencing_token fence)
     {
-        const double total = std::accumulate(ranges.begin(), ranges.end(), 0.0,
-            [](double sum, const key_range& range) { return sum + range.size(); });
+        const double total = std::accumulate(
+            ranges.begin(), ranges.end(), 0.0, [](double sum, const key_range& range) { return sum + range.size(); });
         const auto shares = spareShares(candidates);
         range_map out = map;
         std::size_t target = 0;
@@ -55,8 +56,7 @@
 
 } // namespace
 
-range_map assignUnowned(
-    const range_map& map, const std::vector<range_candidate>& candidates, fencing_token fence)
+range_map assignUnowned(const range_map& map, const std::vector<range_candidate>& candidates, fencing_token fence)
 {
     std::vector<key_range> ranges;
     for (const auto& range : map.ranges()) {
@@ -68,8 +68,8 @@
     return divide(map, ranges, candidates, fence);
 }
 
-range_map assignFrom(const range_map& map, const life_name& leaving, const std::vector<range_candidate>& candidates,
-    fencing_token fence)
+range_map assignFrom(
+    const range_map& map, const life_name& leaving, const std::vector<range_candidate>& candidates, fencing_token fence)
 {
     std::vector<range_candidate> others = candidates;
     std::erase_if(others, [&](const auto& candidate) { return candidate.life == leaving; });
@@ -83,34 +83,48 @@
     return divide(map, ranges, others, fence);
 }
 
+namespace {
+
+    /// Densest part of the owner's settled ranges with about the given load; empty if there is none that is a part.
+    std::optional<key_range> partWithLoad(
+        const range_map& map, const life_name& owner, const key_load& loads, double amount, time_point now)
+    {
+        std::optional<key_range> best;
+        for (const auto& range : map.ranges()) {
+            const double available = loads.of(range.keys, now);
+            if (range.owner != owner || !range.releasing.empty() || available < amount / 2)
+                continue;
+            const auto found = loads.densest(range.keys, std::min(amount, available / 2), now);
+            if (found != range.keys && (!best || found.size() < best->size()))
+                best = found;
+        }
+        return best;
+    }
+
+} // namespace
+
 range_map shedLoad(const range_map& map, const range_candidate& self, const key_load& loads,
-    const std::vector<range_candidate>& others, const shed_terms& terms, fencing_token fence, time_point now)
+    std::vector<range_candidate> others, const shed_terms& terms, fencing_token fence, time_point now)
 {
-    const auto target = std::ranges::min_element(others, {}, &range_candidate::load);
-    if (target == others.end() || self.load < terms.leastLoad)
-        return map;
-    const double gap = self.load - target->load;
-    if (gap < (self.load > 1 ? terms.hardGap : terms.leastGap))
-        return map;
     const double total = loads.total(now);
-    if (total <= 0)
+    if (self.load < terms.leastLoad || total <= 0)
         return map;
-    // Half of the difference evens the two out; the loads per key say how it is spread, not how high it is.
-    const double amount = total * std::min(0.5, gap / 2 / self.load);
-    const owned_range* source = nullptr;
-    key_range window;
-    for (const auto& range : map.ranges()) {
-        if (range.owner != self.life || !range.releasing.empty() || loads.of(range.keys, now) < amount / 2)
-            continue;
-        const auto found = loads.densest(range.keys, std::min(amount, loads.of(range.keys, now) / 2), now);
-        if (!source || found.size() < window.size()) {
-            source = &range;
-            window = found;
-        }
+    range_map out = map;
+    double ownLoad = self.load;
+    for (int moves = 0; moves < terms.mostMoves; ++moves) {
+        const auto target = std::ranges::min_element(others, {}, &range_candidate::load);
+        if (target == others.end() || ownLoad < terms.leastLoad || ownLoad - target->load < terms.leastGap)
+            break;
+        const double moved = (ownLoad - target->load) / 2;
+        const auto part = partWithLoad(out, self.life, loads, total * moved / self.load, now);
+        if (!part)
+            break;
+        const double partLoad = self.load * loads.of(*part, now) / total;
+        out = out.assign(*part, target->life, fence);
+        ownLoad -= partLoad;
+        target->load += partLoad;
     }
-    if (!source || window == source->keys)
-        return map;
-    return map.assign(window, target->life, fence);
+    return out;
 }
 
 } // namespace heatherdrift
--- a/src/ranges/range_planner.h
+++ b/src/ranges/range_planner.h
@@ -20,21 +20,20 @@
 range_map assignUnowned(const range_map&, const std::vector<range_candidate>&, fencing_token);
 
 /// Gives all keys of an owner that leaves to the other candidates.
-range_map assignFrom(
-    const range_map&, const life_name& leaving, const std::vector<range_candidate>&, fencing_token);
+range_map assignFrom(const range_map&, const life_name& leaving, const std::vector<range_candidate>&, fencing_token);
 
 /// When an owner gives keys away because of its load.
 struct shed_terms {
-    double leastLoad = 0.7; ///< Load from which on it does.
-    double leastGap = 0.35; ///< Least difference to the load of the receiver.
-    double hardGap = 0.2; ///< The same once requests wait.
+    double leastLoad = 0.75; ///< Load from which on it does; below it, requests rarely wait for a slot.
+    double leastGap = 0.3; ///< Least difference to the load of the receiver; moves for less cost more than they gain.
+    int mostMoves = 3; ///< Receivers at a time.
 
     bool operator==(const shed_terms&) const = default;
 };
 
-/// Moves the fewest keys that even out the load between an overloaded owner and the least loaded candidate; the map
-/// itself if nothing is to be moved. Loads per key and of the candidates are in the same unit.
-range_map shedLoad(const range_map&, const range_candidate& self, const key_load&,
-    const std::vector<range_candidate>& others, const shed_terms&, fencing_token, time_point now);
+/// Moves the fewest keys that even out the load between an overloaded owner and the least loaded candidates; the map
+/// itself if nothing is to be moved. The loads of the candidates are demands in shares of their slots.
+range_map shedLoad(const range_map&, const range_candidate& self, const key_load&, std::vector<range_candidate> others,
+    const shed_terms&, fencing_token, time_point now);
 
 } // namespace heatherdrift
--- a/src/settings/internal/mesh_settings.cpp
+++ b/src/settings/internal/mesh_settings.cpp
@@ -31,8 +31,8 @@
     reader.readString("service", settings.service);
     reader.readEndpoint("backend_server", settings.backend);
     reader.readEndpoint("store", settings.store);
-    reader.readValue("listen",
-        [&](const json& value, const std::string& path) { return readListeners(value, path, settings); });
+    reader.readValue(
+        "listen", [&](const json& value, const std::string& path) { return readListeners(value, path, settings); });
     reader.readBool("first_start", settings.isFirstStart);
     reader.readMilliseconds("heartbeat_ms", settings.heartbeatInterval, milliseconds);
     reader.readMilliseconds("drain_ms", settings.drainTime, milliseconds);
--- a/src/settings/mesh_settings.h
+++ b/src/settings/mesh_settings.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "base/failure.h"
 #include "base/clock.h"
+#include "base/failure.h"
 #include "base/identifiers.h"
 
 namespace heatherdrift {
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -4,11 +4,11 @@
 #include "telemetry/internal/event_history.h"
 #include "telemetry/line_writer.h"
 
+#include <ctime>
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
-#include <ctime>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -25,15 +25,13 @@
         { log_event::node_stopped, "node_stopped", log_level::info, "The process ends with nothing in progress." },
         { log_event::settings_rejected, "settings_rejected", log_level::error,
             "The settings file has an error; nothing was started." },
-        { log_event::settings_reloaded, "settings_reloaded", log_level::info,
-            "The settings file was read again." },
+        { log_event::settings_reloaded, "settings_reloaded", log_level::info, "The settings file was read again." },
         { log_event::member_registered, "member_registered", log_level::info,
             "The instance wrote its membership row." },
         { log_event::member_left, "member_left", log_level::info, "The instance marked its membership row as left." },
         { log_event::member_changed, "member_changed", log_level::info,
             "Another node's row changed: its backend server, address or state." },
-        { log_event::member_removed, "member_removed", log_level::info,
-            "Another node's row was removed." },
+        { log_event::member_removed, "member_removed", log_level::info, "Another node's row was removed." },
         { log_event::lease_acquired, "lease_acquired", log_level::info, "A majority of witnesses granted the lease." },
         { log_event::lease_lost, "lease_lost", log_level::warning,
             "The lease ended; owned keys are refused until it is renewed." },
@@ -75,8 +73,7 @@
             "A control message could not be decoded; its connection was closed." },
         { log_event::peer_lost, "peer_lost", log_level::warning,
             "Another node does not answer; its work goes elsewhere." },
-        { log_event::peer_regained, "peer_regained", log_level::info,
-            "Another node answers again." },
+        { log_event::peer_regained, "peer_regained", log_level::info, "Another node answers again." },
         { log_event::backend_announced, "backend_announced", log_level::info,
             "The backend server beside this process announced itself." },
         { log_event::backend_lost, "backend_lost", log_level::warning,
@@ -94,8 +91,7 @@
             "A caller was told that its request has not run." },
         { log_event::request_failed, "request_failed", log_level::warning,
             "A caller got a failure made by this node." },
-        { log_event::request_abandoned, "request_abandoned", log_level::info,
-            "A caller left before its answer." },
+        { log_event::request_abandoned, "request_abandoned", log_level::info, "A caller left before its answer." },
     };
 
     const log_event_definition& definitionOf(log_event event)
