--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -47,6 +47,8 @@
     duration mostIdleTime = std::chrono::hours(24);
     /// Silence after which the kernel gives a connection up; zero: the kernel's own default.
     duration silenceLimit {};
+    /// Time to establish a connection; zero: the deadline of the call alone.
+    duration connectTimeout {};
 };
 
 /// Connections to one server; each carries one request at a time and is kept for the next. A request is written to one
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -47,6 +47,7 @@
     : m_peerName(toString(server))
     , m_acceptsUnframed(options.acceptsUnframedAnswers)
     , m_mostIdleTime(options.mostIdleTime)
+    , m_connectTimer(base, [this] { end(false); })
     , m_parser(message_parser::side::responses, headerLimitBytes,
           { [this] { return acceptHead(); },
               [this](std::string_view data) {
@@ -71,6 +72,8 @@
     if (options.silenceLimit > duration::zero())
         detectSilence(descriptor,
             static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(options.silenceLimit).count()));
+    if (options.connectTimeout > duration::zero())
+        m_connectTimer.startOnce(options.connectTimeout);
     bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
 }
 
@@ -201,6 +204,7 @@
 void client_connection::changed(bufferevent*, short what, void* argument)
 {
     auto& self = *static_cast<client_connection*>(argument);
+    self.m_connectTimer.stop();
     if (what & BEV_EVENT_CONNECTED)
         return;
     const bool isOrderly = what & BEV_EVENT_EOF;
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -50,6 +50,7 @@
     std::string m_peerName;
     bool m_acceptsUnframed;
     duration m_mostIdleTime;
+    timer m_connectTimer;
     stream_handle m_stream;
     message_parser m_parser;
     handlers m_handlers;
--- a/src/mesh/forward_protocol.h
+++ b/src/mesh/forward_protocol.h
@@ -46,6 +46,11 @@
     gate_load load;
 };
 
+/// Header of requests between nodes: the node that is meant. Another one may have its address by now.
+constexpr const char* targetNodeHeader = "heatherdrift-target";
+/// Status by which a node says that it is not the one that is meant.
+constexpr int statusOtherNode = 421;
+
 http_request encodeForward(const routed_request&, time_point now);
 result<routed_request> decodeForward(const http_request&, time_point now);
 http_response encodeAnswer(const gate_answer&);
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -61,8 +61,11 @@
     for (const auto& life : lives) {
         const auto* peer = m_context.directory.findLife(life);
         const bool wasTried = peer && std::ranges::find(m_tried, peer->member.node) != m_tried.end();
-        if (peer && !m_context.directory.isUnreachable(*peer, now) && (!wasTried || life == range.owner))
+        if (!peer || (wasTried && life != range.owner))
+            continue;
+        if (!m_context.directory.isUnreachable(*peer, now))
             return peer->member.node;
+        m_context.probe(peer->member.node);
     }
     return std::nullopt;
 }
@@ -106,8 +109,10 @@
             m_attempt->local = id;
         return;
     }
-    m_attempt->remote = fetch(m_context.directory.client(node), encodeForward(m_request, now),
-        m_request.deadline + gateSlack, answerLimitBytes, [weak](result<http_response> response) {
+    auto message = encodeForward(m_request, now);
+    message.headers.add(targetNodeHeader, node);
+    m_attempt->remote = fetch(m_context.directory.client(node), std::move(message), m_request.deadline + gateSlack,
+        answerLimitBytes, [weak](result<http_response> response) {
             if (const auto self = weak.lock())
                 self->answered(std::move(response));
         });
@@ -124,6 +129,13 @@
         answer.reachedBackend = answer.outcome != verdict::not_run;
         return finished(std::move(answer));
     }
+    if (response.value().head.status == statusOtherNode
+        && !response.value().head.headers.find("heatherdrift-verdict")) {
+        m_context.nodeReplaced(instance_id(m_attempt->node));
+        gate_answer answer;
+        answer.reason = error_code::not_found;
+        return finished(std::move(answer));
+    }
     auto answer = decodeAnswer(std::move(response).value());
     if (answer.has_error()) {
         gate_answer lost;
--- a/src/mesh/internal/entry_service.h
+++ b/src/mesh/internal/entry_service.h
@@ -22,6 +22,10 @@
     mesh_directory& directory;
     gate_service& gate;
     std::function<const range_map*(const std::string& service)> map;
+    /// Another node answers at the node's address.
+    std::function<void(const instance_id&)> nodeReplaced;
+    /// A request needs a node that is unreachable.
+    std::function<void(const instance_id&)> probe;
     /// A gate of the service knows a range map of this version.
     std::function<void(const std::string& service, const instance_id&, row_version)> noticeMap;
 };
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -10,6 +10,7 @@
     constexpr int mostPeerConnections = 256; ///< Per other node; each carries one request at a time.
     constexpr auto peerIdleTime = std::chrono::seconds(60);
     constexpr auto silenceLimit = std::chrono::milliseconds(1500); ///< Requests live for about a second.
+    constexpr auto connectTimeout = std::chrono::milliseconds(400); ///< Far above the round trip between regions.
     /// A node that restarts answers again sooner; one that does not is taken for lost.
     constexpr auto unreachableAfter = std::chrono::milliseconds(1500);
 
@@ -19,6 +20,7 @@
         options.maximumConnections = mostPeerConnections;
         options.mostIdleTime = peerIdleTime;
         options.silenceLimit = silenceLimit;
+        options.connectTimeout = connectTimeout;
         return options;
     }
 
@@ -101,6 +103,19 @@
     return found == m_peers.end() ? nullptr : &found->second;
 }
 
+const mesh_peer* mesh_directory::findAddress(const endpoint& address) const
+{
+    const auto found
+        = std::ranges::find_if(m_peers, [&](const auto& entry) { return entry.second.member.address == address; });
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+void mesh_directory::setRowVersion(const instance_id& node, row_version version)
+{
+    if (const auto found = m_peers.find(node); found != m_peers.end())
+        found->second.rowVersion = version;
+}
+
 const mesh_peer* mesh_directory::findLife(const life_name& life) const
 {
     if (life.empty())
@@ -126,6 +141,22 @@
         && now - peer.failingSince >= unreachableAfter;
 }
 
+bool mesh_directory::hasAnsweredSince(const instance_id& node, time_point since) const
+{
+    const auto* peer = find(node);
+    return peer && peer->answeredAt >= since;
+}
+
+std::vector<instance_id> mesh_directory::silentSince(time_point since) const
+{
+    std::vector<instance_id> out;
+    for (const auto& [node, peer] : m_peers) {
+        if (peer.failingSince < since)
+            out.push_back(node);
+    }
+    return out;
+}
+
 http_client& mesh_directory::client(const instance_id& node)
 {
     auto& client = m_clients[node];
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/load_view.h"
+#include "base/store_types.h"
 #include "http/http_client.h"
 #include "mesh/forward_protocol.h"
 #include "mesh/member.h"
@@ -14,6 +15,7 @@
 /// Another node as this one sees it.
 struct mesh_peer {
     mesh_member member;
+    row_version rowVersion = 0; ///< Of the row that told of it; 0 for this node itself.
     gate_load load;
     time_point loadAt = time_point::min();
     time_point answeredAt = time_point::min(); ///< Last answer of the node to anything.
@@ -31,12 +33,18 @@
 
     const std::map<instance_id, mesh_peer>& peers() const { return m_peers; }
     const mesh_peer* find(const instance_id&) const;
+    const mesh_peer* findAddress(const endpoint&) const;
+    void setRowVersion(const instance_id&, row_version);
     const mesh_peer* findLife(const life_name&) const;
     /// Backend servers of a service that take work, by node.
     std::vector<const mesh_peer*> available(const std::string& service, time_point now) const;
     /// Whether the node failed to answer for so long that its work should go elsewhere.
     bool isUnreachable(const mesh_peer&, time_point now) const;
 
+    bool hasAnsweredSince(const instance_id&, time_point) const;
+    /// Nodes that have failed since then without any answer.
+    std::vector<instance_id> silentSince(time_point) const;
+
     http_client& client(const instance_id&);
     /// How backend servers of a service that hold no keys are picked.
     load_view& view(const std::string& service);
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -5,6 +5,7 @@
 #include "mesh/internal/gate_service.h"
 #include "mesh/internal/mesh_directory.h"
 #include "mesh/internal/ownership.h"
+#include "mesh/internal/peer_watch.h"
 #include "mesh/internal/range_replicas.h"
 #include "mesh/internal/table_watcher.h"
 #include "telemetry/log_event.h"
@@ -18,13 +19,9 @@
 
     constexpr const char* memberTable = "heatherdrift-members"; ///< Keys are instances.
     constexpr const char* rangeTable = "heatherdrift-ranges"; ///< Keys are services.
-    constexpr const char* pingTarget = "/heatherdrift/ping";
     constexpr auto memberWriteTimeout = std::chrono::milliseconds(1500);
     constexpr auto memberWriteBackoff = std::chrono::milliseconds(300);
     constexpr auto recentLoad = std::chrono::seconds(2); ///< Older loads say nothing of a hot key's place.
-    constexpr auto pingInterval = std::chrono::milliseconds(500);
-    constexpr auto pingTimeout = std::chrono::milliseconds(600);
-    constexpr std::size_t mostPingers = 2; ///< Nodes of a service that watch the others.
     constexpr auto stopPollInterval = std::chrono::milliseconds(50);
     /// Callers see after two missed readiness checks, a second apart, that this node takes no more.
     constexpr auto leastStopTime = std::chrono::milliseconds(2300);
@@ -55,11 +52,16 @@
                   [this] { publish(); })
             , m_entry({ base, m_settings, m_port, m_routes, m_directory, m_gate,
                   [this](const std::string& service) { return findMap(service); },
+                  [this](const instance_id& node) { nodeReplaced(node); },
+                  [this](const instance_id& node) { m_watch.probe(node); },
                   [this](const std::string& service, const instance_id& node, row_version version) {
                       if (service != m_settings.service)
                           m_replicas.notice(service, node, version);
                   } })
             , m_replicas(m_directory)
+            , m_watch(base, m_settings, m_directory,
+                  { [this](const instance_id& node) { nodeReplaced(node); },
+                      [this](const instance_id& node) { removeLost(node); } })
             , m_configurationWatcher(base, *m_store, m_port.configurationRow.table,
                   { [this](const row_change& row) { configurationChanged(row); }, nullptr, nullptr })
             , m_memberWatcher(base, *m_store, memberTable,
@@ -71,7 +73,6 @@
                   { [this](const row_change& row) { rangesChanged(row); }, [this] { m_ownership.tableRead(); },
                       nullptr })
             , m_publishRetry(base, [this] { publish(); })
-            , m_ping(base, [this] { pingPeers(); })
             , m_stopPoll(base, [this] { stopIfDone(); })
         {
         }
@@ -105,7 +106,7 @@
         {
             m_configurationWatcher.start();
             m_memberWatcher.start();
-            m_ping.startRepeating(pingInterval);
+            m_watch.start();
             logEvent(log_event::node_started, { { "instance", m_settings.node } });
             event_base_dispatch(m_base);
             logEvent(log_event::node_stopped);
@@ -185,12 +186,48 @@
         {
             const instance_id& node = row.key.key;
             if (node == m_settings.node)
-                return;
+                return ownRowChanged(row);
             if (!row.value)
                 return m_directory.remove(node);
             const auto member = parseMember(*row.value);
-            if (member.has_value() && member.value().node == node)
-                m_directory.update(member.value(), boot_clock::now());
+            if (member.has_error() || member.value().node != node)
+                return;
+            if (const auto* other = m_directory.findAddress(member.value().address);
+                other && other->member.node != node && row.version > other->rowVersion)
+                nodeReplaced(instance_id(other->member.node));
+            m_directory.update(member.value(), boot_clock::now());
+            m_directory.setRowVersion(node, row.version);
+        }
+
+        /// Another node takes this one for lost, or an earlier process wrote the row: it is written anew.
+        void ownRowChanged(const row_change& row)
+        {
+            if (!m_announcements.current() || (row.value && *row.value == toJson(ownMember())))
+                return;
+            m_published.reset();
+            publish();
+        }
+
+        /// Another node listens at the node's address, so that its instance and its backend server are gone.
+        void nodeReplaced(const instance_id& node)
+        {
+            const auto* peer = m_directory.find(node);
+            if (!peer || node == m_settings.node)
+                return;
+            if (peer->member.service == m_settings.service && !peer->member.life.empty())
+                m_ownership.otherEnded(peer->member.life);
+            removeLost(node);
+        }
+
+        void removeLost(const instance_id& node)
+        {
+            logEvent(log_event::member_removed, { { "node", node } });
+            conditional_write change;
+            change.changes.push_back({ { memberTable, node }, 0, std::nullopt });
+            m_directory.remove(node);
+            m_store->write(std::move(change), boot_clock::now() + memberWriteTimeout, [](const result<write_outcome>&) {
+                // A row that was not removed comes back with the next read of the table.
+            });
         }
 
         void startOwnershipIfDue()
@@ -247,7 +284,10 @@
 
         void handleForward(http_exchange_ptr exchange)
         {
-            if (exchange->request().target == pingTarget)
+            const auto target = exchange->request().headers.find(targetNodeHeader);
+            if (target != m_settings.node)
+                return exchange->respond({ { statusOtherNode, {} }, "" });
+            if (exchange->request().target == peer_watch::target)
                 return exchange->respond({});
             if (exchange->request().target == range_replicas::target)
                 return exchange->respond(
@@ -264,31 +304,6 @@
                 exchange->onClosed([this, id] { m_gate.cancel(id); });
         }
 
-        /// A few nodes of the service watch the others, so that the keys of a lost one are noticed without requests.
-        void pingPeers()
-        {
-            const auto now = boot_clock::now();
-            const auto members = candidates();
-            const auto self = std::ranges::find(members, m_settings.node, &owner_candidate::node);
-            if (self == members.end() || self - members.begin() >= static_cast<std::ptrdiff_t>(mostPingers))
-                return;
-            for (const auto& [node, peer] : m_directory.peers()) {
-                if (node == m_settings.node || peer.member.service != m_settings.service || peer.member.life.empty())
-                    continue;
-                if (peer.answeredAt != time_point::min() && now - peer.answeredAt < pingInterval)
-                    continue;
-                http_request ping;
-                ping.target = pingTarget;
-                fetch(m_directory.client(node), std::move(ping), now + pingTimeout, 1024,
-                    [this, node = node](const result<http_response>& answer) {
-                        if (answer.has_value())
-                            m_directory.answered(node, std::nullopt, boot_clock::now());
-                        else
-                            m_directory.failed(node, boot_clock::now());
-                    });
-            }
-        }
-
         /// The backend server may still make nested calls while it runs requests, so the listener for callers closes
         /// only after the gate is empty.
         void stopIfDone()
@@ -318,6 +333,7 @@
         announcement_service m_announcements;
         entry_service m_entry;
         range_replicas m_replicas;
+        peer_watch m_watch;
         table_watcher m_configurationWatcher;
         table_watcher m_memberWatcher;
         table_watcher m_rangeWatcher; ///< Runs only if the service of this node is partitioned.
@@ -326,7 +342,6 @@
         std::optional<mesh_member> m_published;
         bool m_isPublishing = false;
         timer m_publishRetry;
-        timer m_ping;
         bool m_isStopping = false;
         time_point m_closesGateAt {};
         time_point m_endsAt {};
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -1,5 +1,7 @@
 #include "mesh/internal/ownership.h"
 
+#include "telemetry/log_event.h"
+
 #include <algorithm>
 
 namespace heatherdrift {
@@ -54,10 +56,29 @@
 
 void ownership::tableRead() { m_isTableRead = true; }
 
+void ownership::logMap(const range_map& map, row_version version, bool isOwnCall) const
+{
+    std::size_t releasing = 0;
+    std::size_t strayed = 0;
+    const auto candidates = m_hooks.candidates();
+    for (const auto& range : map.ranges()) {
+        releasing += !range.releasing.empty();
+        strayed += !isOwnerKnown(range.owner, candidates);
+    }
+    logEvent(log_event::range_map_changed,
+        { { "version", std::to_string(version) }, { "learned_by", isOwnCall ? "own call" : "feed" },
+            { "ranges", std::to_string(map.ranges().size()) },
+            { "own_keys", std::to_string(map.keyCount(m_keeper.life())) }, { "releasing", std::to_string(releasing) },
+            { "without_live_owner", std::to_string(strayed) }, { "candidates", std::to_string(candidates.size()) },
+            { "life", m_keeper.life() } });
+}
+
 void ownership::adopt(const range_map& map, row_version version, std::optional<time_point> readAt)
 {
     if (version < m_version)
         return;
+    if (version != m_version)
+        logMap(map, version, readAt.has_value());
     m_version = version;
     m_map = map;
     const auto now = boot_clock::now();
@@ -99,7 +120,8 @@
     if (life != m_keeper.life()) {
         // The new life answers at the address of the old one, which has therefore ended.
         if (!m_keeper.life().empty())
-            backendEnded(m_keeper.life());
+            m_ended.insert(m_keeper.life());
+        m_previousLife = m_keeper.life();
         m_keeper.startLife(life);
         m_isDraining = false;
     }
@@ -116,12 +138,18 @@
 
 void ownership::backendEnded(const life_name& life)
 {
-    m_ended = life;
+    m_ended.insert(life);
     if (m_keeper.life() == life)
         m_keeper.distrustGrants();
     propose();
 }
 
+void ownership::otherEnded(const life_name& life)
+{
+    m_ended.insert(life);
+    propose();
+}
+
 void ownership::startDrain()
 {
     m_isDraining = true;
@@ -153,18 +181,21 @@
 {
     m_isWriting = false;
     if (outcome.has_error())
-        return failed();
+        return failed(outcome.error());
     if (!outcome.value().isApplied)
         return handleConflict(outcome.value(), sentAt);
     if (version == m_version)
         m_keeper.confirm(m_map, sentAt);
 }
 
-void ownership::failed()
+void ownership::failed(const failure& reason)
 {
     // A write whose answer was lost may still take effect; the feed shows it, and a later one conflicts with it.
     m_mayWriteAt = boot_clock::now() + writeBackoff;
     m_confirmDueAt = time_point::min();
+    logEvent(log_event::range_map_write_failed,
+        { { "version", std::to_string(m_version) }, { "verdict", std::string(toString(reason.outcome)) },
+            { "reason", reason.message } });
 }
 
 bool ownership::isOwnerKnown(const life_name& life, const std::vector<owner_candidate>& candidates) const
@@ -240,9 +271,10 @@
 {
     range_map next = m_map;
     const auto& life = m_keeper.life();
-    if (!m_ended.empty()) {
-        const bool hasSuccessor = !life.empty() && life != m_ended && !m_isDraining;
-        next = next.replace(m_ended, hasSuccessor ? life : life_name(), m_version + 1);
+    for (const auto& ended : m_ended) {
+        // Only a later life of the same backend server takes the keys over as they are.
+        const bool hasSuccessor = !life.empty() && life != ended && !m_isDraining && ended == m_previousLife;
+        next = next.replace(ended, hasSuccessor ? life : life_name(), m_version + 1);
     }
     if (!life.empty()) {
         next = m_keeper.releaseUnheld(next, now);
@@ -281,7 +313,7 @@
 {
     m_isWriting = false;
     if (outcome.has_error())
-        return failed();
+        return failed(outcome.error());
     if (!outcome.value().isApplied)
         return handleConflict(outcome.value(), sentAt);
     m_confirmDueAt = std::max(m_confirmDueAt, sentAt + confirmInterval);
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -7,6 +7,8 @@
 #include "settings/mesh_settings.h"
 #include "store/watched_store.h"
 
+#include <set>
+
 namespace heatherdrift {
 
 /// A backend server of this node's service, for the assignment of keys.
@@ -45,6 +47,8 @@
     hold_grant grant(time_point receivedAt);
     /// The backend server has ended for certain.
     void backendEnded(const life_name&);
+    /// The backend server of another node has ended for certain.
+    void otherEnded(const life_name&);
     /// The backend server leaves; its keys go to the others.
     void startDrain();
     void distrustGrants() { m_keeper.distrustGrants(); }
@@ -62,7 +66,8 @@
     void propose();
     void wrote(const range_map& proposed, time_point sentAt, result<write_outcome>);
     void confirmed(row_version, time_point sentAt, result<write_outcome>);
-    void failed();
+    void failed(const failure&);
+    void logMap(const range_map&, row_version, bool isOwnCall) const;
     void handleConflict(const write_outcome&, time_point sentAt);
     bool isGrantNear(const owned_range&) const;
     bool isOwnerKnown(const life_name&, const std::vector<owner_candidate>&) const;
@@ -76,8 +81,9 @@
     row_version m_version = 0;
     bool m_isTableRead = false;
     bool m_isDraining = false;
-    life_name m_ended; ///< Life that has ended for certain and may still stand in the map.
+    std::set<life_name> m_ended; ///< Lives that have ended for certain and may still stand in the map.
     std::map<fencing_token, time_point> m_seenAt; ///< When this process first saw an assignment.
+    life_name m_previousLife; ///< Of the backend server beside this node, before the present one.
     bool m_isWriting = false;
     time_point m_startedAt;
     time_point m_confirmDueAt = time_point::min();
--- /dev/null
+++ b/src/mesh/internal/peer_watch.cpp
@@ -0,0 +1,82 @@
+#include "mesh/internal/peer_watch.h"
+
+namespace heatherdrift {
+
+namespace {
+
+    constexpr auto interval = std::chrono::milliseconds(400);
+    constexpr auto answerTimeout = std::chrono::milliseconds(400); ///< A node answers a ping within milliseconds.
+    constexpr auto recentAnswer = std::chrono::milliseconds(1500);
+    constexpr auto forgetAfter = std::chrono::seconds(10); ///< Far longer than a restart or a short cut.
+    constexpr std::size_t mostWatchers = 2; ///< Nodes of a service that watch the others.
+    constexpr std::size_t answerLimitBytes = 1024;
+
+} // namespace
+
+peer_watch::peer_watch(
+    event_base* base, const mesh_settings& settings, mesh_directory& directory, peer_watch_hooks hooks)
+    : m_settings(settings)
+    , m_directory(directory)
+    , m_hooks(std::move(hooks))
+    , m_tick(base, [this] { tick(); })
+{
+}
+
+void peer_watch::start() { m_tick.startRepeating(interval); }
+
+bool peer_watch::isWatcher(time_point now) const
+{
+    std::size_t before = 0;
+    for (const auto& [node, peer] : m_directory.peers()) {
+        if (node == m_settings.node)
+            return before < mostWatchers;
+        if (peer.member.service == m_settings.service)
+            before += m_directory.hasAnsweredSince(node, now - recentAnswer);
+    }
+    return false;
+}
+
+void peer_watch::tick()
+{
+    const auto now = boot_clock::now();
+    for (const auto& node : m_directory.silentSince(now - forgetAfter))
+        m_hooks.onLost(node);
+    if (!isWatcher(now))
+        return;
+    for (const auto& [node, peer] : m_directory.peers()) {
+        const bool isWatched = node != m_settings.node && peer.member.service == m_settings.service;
+        if (isWatched && !m_directory.hasAnsweredSince(node, now - interval))
+            ping(node);
+    }
+}
+
+void peer_watch::probe(const instance_id& node)
+{
+    const auto now = boot_clock::now();
+    auto& mayProbeAt = m_mayProbeAt[node];
+    if (now < mayProbeAt)
+        return;
+    mayProbeAt = now + interval;
+    ping(node);
+}
+
+void peer_watch::ping(const instance_id& node)
+{
+    if (!m_asked.insert(node).second)
+        return;
+    http_request request;
+    request.target = target;
+    request.headers.add(targetNodeHeader, node);
+    fetch(m_directory.client(node), std::move(request), boot_clock::now() + answerTimeout, answerLimitBytes,
+        [this, node](const result<http_response>& answer) {
+            m_asked.erase(node);
+            const auto now = boot_clock::now();
+            if (answer.has_error())
+                return m_directory.failed(node, now);
+            if (answer.value().head.status == statusOtherNode)
+                return m_hooks.onReplaced(node);
+            m_directory.answered(node, std::nullopt, now);
+        });
+}
+
+} // namespace heatherdrift
--- a/src/mesh/internal/range_replicas.cpp
+++ b/src/mesh/internal/range_replicas.cpp
@@ -59,6 +59,7 @@
         return;
     http_request request;
     request.target = target;
+    request.headers.add(targetNodeHeader, node);
     fetch(m_directory.client(node), std::move(request), boot_clock::now() + fetchTimeout, answerLimitBytes,
         [this, service](const result<http_response>& answer) {
             m_fetching.erase(service);
