--- a/cmake/HeatherdriftModule.cmake
+++ b/cmake/HeatherdriftModule.cmake
@@ -16,11 +16,15 @@
 # heatherdrift_test(NAME [DEPENDS targets...])
 # Adds the GoogleTest program heatherdrift_NAME_test from the sources in tests/.
 function(heatherdrift_test name)
+  if(NOT HEATHERDRIFT_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
   add_executable(heatherdrift_${name}_test ${sources})
   target_link_libraries(heatherdrift_${name}_test PRIVATE heatherdrift_${name} ${ARG_DEPENDS}
     GTest::gmock GTest::gtest_main rapidcheck rapidcheck_gtest heatherdrift_options)
+  target_compile_definitions(heatherdrift_${name}_test PRIVATE HEATHERDRIFT_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   # A fixed seed makes every run of the properties the same; RapidCheck prints it with a failure.
   gtest_discover_tests(heatherdrift_${name}_test TEST_PREFIX "${name}." DISCOVERY_TIMEOUT 60
     PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 900)
--- /dev/null
+++ b/src/gate/tests/slot_queue_test.cpp
@@ -0,0 +1,127 @@
+#include "gate/slot_queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace heatherdrift {
+namespace {
+
+    using std::chrono::milliseconds;
+
+    const time_point start { std::chrono::hours(1) };
+
+    queued_request makeRequest(request_number id, int objectiveMs = 600, int deadlineMs = 1200)
+    {
+        return { id, false, 1, "kind", start + milliseconds(objectiveMs), start + milliseconds(deadlineMs) };
+    }
+
+    // Pattern "hangs when full": a backend server that gets more requests than it has slots may never answer again on
+    // a connection. Guards against one request too many, in any order of arrivals and ends.
+    RC_GTEST_PROP(SlotQueue, NeverRunsMoreThanItsSlots, ())
+    {
+        const int slots = *rc::gen::inRange(1, 6);
+        slot_queue queue({ slots, milliseconds(50) });
+        std::vector<request_number> running;
+        std::size_t accepted = 0;
+        std::size_t ended = 0;
+        for (request_number id = 1; id < 200; ++id) {
+            const auto now = start + milliseconds(id);
+            auto request = makeRequest(id, *rc::gen::inRange(10, 900), 1500);
+            request.isNested = *rc::gen::inRange(0, 4) == 0;
+            request.priority = *rc::gen::inRange(0, 3);
+            const auto decision = queue.submit(request, now);
+            accepted += decision != queue_decision::refuse;
+            if (decision == queue_decision::run)
+                running.push_back(id);
+            if (!running.empty() && *rc::gen::inRange(0, 2) == 0) {
+                queue.finish(running.back(), milliseconds(40));
+                running.pop_back();
+                ++ended;
+            }
+            while (const auto next = queue.takeNext(now))
+                running.push_back(*next);
+            RC_ASSERT(queue.running() == running.size());
+            RC_ASSERT(running.size() <= static_cast<std::size_t>(slots));
+            RC_ASSERT(accepted == ended + queue.running() + queue.waiting());
+        }
+    }
+
+    // Guards against a deadlock of callers: a nested request's caller holds a slot until it is answered.
+    TEST(SlotQueue, NestedRequestsGoFirst)
+    {
+        slot_queue queue({ 1, milliseconds(10) });
+        EXPECT_EQ(queue.submit(makeRequest(1), start), queue_decision::run);
+        EXPECT_EQ(queue.submit(makeRequest(2), start), queue_decision::wait);
+        auto nested = makeRequest(3);
+        nested.isNested = true;
+        nested.priority = 9;
+        EXPECT_EQ(queue.submit(nested, start), queue_decision::wait);
+        queue.finish(1, milliseconds(10));
+        EXPECT_EQ(queue.takeNext(start), 3u);
+    }
+
+    // Guards against a kind of request that is served worse than a less urgent one.
+    TEST(SlotQueue, HigherPriorityGoesFirst)
+    {
+        slot_queue queue({ 1, milliseconds(10) });
+        queue.submit(makeRequest(1), start);
+        auto low = makeRequest(2, 50);
+        low.priority = 2;
+        queue.submit(low, start);
+        queue.submit(makeRequest(3), start);
+        queue.finish(1, milliseconds(10));
+        EXPECT_EQ(queue.takeNext(start), 3u);
+    }
+
+    // Pattern "crest of a wave": work that is too late for its objective must not delay work that is not.
+    TEST(SlotQueue, RequestsThatCanMeetTheirObjectiveGoBeforeLateOnes)
+    {
+        slot_queue queue({ 1, milliseconds(100) });
+        queue.submit(makeRequest(1), start);
+        EXPECT_EQ(queue.submit(makeRequest(2, 150), start), queue_decision::wait);
+        EXPECT_EQ(queue.submit(makeRequest(3, 800), start), queue_decision::wait);
+        queue.finish(1, milliseconds(100));
+        EXPECT_EQ(queue.takeNext(start + milliseconds(100)), 3u);
+    }
+
+    // Pattern "crest of a wave": a caller that would only wait for its deadline is told at once, so that it can return
+    // when there is room. Guards against a queue that grows to the deadline.
+    TEST(SlotQueue, RefusesAtOnceWhatCannotBeServedInTime)
+    {
+        slot_queue queue({ 2, milliseconds(100) });
+        int waiting = 0;
+        for (request_number id = 1; id < 200; ++id) {
+            if (queue.submit(makeRequest(id, 300, 1200), start) == queue_decision::wait)
+                ++waiting;
+        }
+        // Two slots finish at most four more requests within 300 ms, and two late ones may wait for a gap.
+        EXPECT_LE(waiting, 6);
+        EXPECT_GE(waiting, 2);
+        EXPECT_GT(queue.expectedWait(), duration::zero());
+    }
+
+    // Guards against a request that waits although its deadline has become hopeless.
+    TEST(SlotQueue, HopelessRequestsLeave)
+    {
+        slot_queue queue({ 1, milliseconds(100) });
+        queue.submit(makeRequest(1), start);
+        queue.submit(makeRequest(2, 250, 300), start);
+        EXPECT_TRUE(queue.takeHopeless(start + milliseconds(100)).empty());
+        EXPECT_EQ(queue.takeHopeless(start + milliseconds(290)), std::vector<request_number> { 2 });
+        EXPECT_EQ(queue.waiting(), 0u);
+    }
+
+    // Guards against a caller that left and still takes a slot later.
+    TEST(SlotQueue, CancelledRequestsDoNotRun)
+    {
+        slot_queue queue({ 1, milliseconds(10) });
+        queue.submit(makeRequest(1), start);
+        queue.submit(makeRequest(2), start);
+        EXPECT_TRUE(queue.cancel(2));
+        EXPECT_FALSE(queue.cancel(1));
+        queue.finish(1, std::nullopt);
+        EXPECT_EQ(queue.takeNext(start), std::nullopt);
+    }
+
+} // namespace
+} // namespace heatherdrift
--- /dev/null
+++ b/src/http/tests/http_contract_test.cpp
@@ -0,0 +1,378 @@
+#include "http/tests/test_loop.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+namespace heatherdrift {
+namespace {
+
+    /// Client that sends given bytes and collects what comes back.
+    class raw_client {
+    public:
+        raw_client(event_base* base, const endpoint& server)
+            : m_stream(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE))
+        {
+            bufferevent_setcb(m_stream, &raw_client::readable, nullptr, &raw_client::changed, this);
+            bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+            sockaddr_in address {};
+            address.sin_family = AF_INET;
+            address.sin_port = htons(server.port);
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            bufferevent_socket_connect(m_stream, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        }
+        ~raw_client() { close(); }
+        raw_client(const raw_client&) = delete;
+        raw_client& operator=(const raw_client&) = delete;
+
+        void send(const std::string& bytes) { bufferevent_write(m_stream, bytes.data(), bytes.size()); }
+        void close()
+        {
+            if (m_stream)
+                bufferevent_free(std::exchange(m_stream, nullptr));
+        }
+
+        std::string received;
+        bool isClosed = false;
+
+    private:
+        static void readable(bufferevent* stream, void* argument)
+        {
+            char buffer[4096];
+            std::size_t size = 0;
+            while ((size = bufferevent_read(stream, buffer, sizeof(buffer))) > 0)
+                static_cast<raw_client*>(argument)->received.append(buffer, size);
+        }
+        static void changed(bufferevent*, short what, void* argument)
+        {
+            if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+                static_cast<raw_client*>(argument)->isClosed = true;
+        }
+
+        bufferevent* m_stream;
+    };
+
+    /// Server that answers each whole request head with the next of its scripted byte strings.
+    class scripted_server {
+    public:
+        enum class ending { keep_open, close, reset };
+
+        scripted_server(event_base* base, std::vector<std::string> answers, ending afterLast)
+            : m_base(base)
+            , m_answers(std::move(answers))
+            , m_ending(afterLast)
+        {
+            sockaddr_in address {};
+            address.sin_family = AF_INET;
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            m_listener = evconnlistener_new_bind(base, &scripted_server::accepted, this, LEV_OPT_CLOSE_ON_FREE, 16,
+                reinterpret_cast<sockaddr*>(&address), sizeof(address));
+            socklen_t size = sizeof(address);
+            getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr*>(&address), &size);
+            m_port = ntohs(address.sin_port);
+        }
+        ~scripted_server()
+        {
+            evconnlistener_free(m_listener);
+            for (auto* stream : m_streams)
+                bufferevent_free(stream);
+        }
+        scripted_server(const scripted_server&) = delete;
+        scripted_server& operator=(const scripted_server&) = delete;
+
+        endpoint address() const { return { "127.0.0.1", m_port }; }
+        int connections = 0;
+        std::size_t requests = 0;
+
+    private:
+        static void accepted(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* argument)
+        {
+            auto& self = *static_cast<scripted_server*>(argument);
+            ++self.connections;
+            auto* stream = bufferevent_socket_new(self.m_base, descriptor, BEV_OPT_CLOSE_ON_FREE);
+            self.m_streams.push_back(stream);
+            bufferevent_setcb(stream, &scripted_server::readable, &scripted_server::written, nullptr, argument);
+            bufferevent_enable(stream, EV_READ | EV_WRITE);
+        }
+
+        static void readable(bufferevent* stream, void* argument)
+        {
+            auto& self = *static_cast<scripted_server*>(argument);
+            auto* input = bufferevent_get_input(stream);
+            for (;;) {
+                const auto end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
+                if (end.pos < 0 || self.requests >= self.m_answers.size())
+                    return;
+                evbuffer_drain(input, static_cast<std::size_t>(end.pos) + 4);
+                const auto& answer = self.m_answers[self.requests++];
+                bufferevent_write(stream, answer.data(), answer.size());
+            }
+        }
+
+        static void written(bufferevent* stream, void* argument)
+        {
+            auto& self = *static_cast<scripted_server*>(argument);
+            if (self.requests < self.m_answers.size() || self.m_ending == ending::keep_open)
+                return;
+            if (self.m_ending == ending::reset) {
+                const linger option { 1, 0 };
+                setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+            }
+            std::erase(self.m_streams, stream);
+            bufferevent_free(stream);
+        }
+
+        event_base* m_base;
+        std::vector<std::string> m_answers;
+        ending m_ending;
+        evconnlistener* m_listener;
+        std::uint16_t m_port = 0;
+        std::vector<bufferevent*> m_streams;
+    };
+
+    class HttpContractTest : public testing::Test {
+    protected:
+        std::unique_ptr<http_server> listen(http_server_limits limits, http_handler handler)
+        {
+            auto server = http_server::listen(loop.base(), { "127.0.0.1", 0 }, limits, std::move(handler));
+            EXPECT_TRUE(server.has_value());
+            return std::move(server).value();
+        }
+
+        test_loop loop;
+    };
+
+    struct smuggling_case {
+        const char* name;
+        const char* bytes;
+    };
+
+    // Guards against request smuggling: framing or names that another reader would understand differently.
+    TEST_F(HttpContractTest, AmbiguousFramingNeverReachesTheHandler)
+    {
+        const smuggling_case cases[] = {
+            { "two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 30\r\n\r\nabc" },
+            { "length and chunks",
+                "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+            { "space before the colon", "GET / HTTP/1.1\r\nHost: a\r\nContent-Length : 3\r\n\r\nabc" },
+            { "unknown transfer coding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n" },
+        };
+        for (const auto& entry : cases) {
+            int handled = 0;
+            auto server = listen({}, [&](http_exchange_ptr exchange) {
+                ++handled;
+                exchange->respond({});
+            });
+            raw_client client(loop.base(), server->address());
+            client.send(entry.bytes);
+            loop.runUntil([&] { return client.isClosed; });
+            EXPECT_EQ(handled, 0) << entry.name;
+            EXPECT_NE(client.received.find(" 400 "), std::string::npos) << entry.name << client.received;
+        }
+    }
+
+    // Guards against answers in another order than the requests when later ones are answered first.
+    TEST_F(HttpContractTest, PipelinedRequestsRunTogetherAndAreAnsweredInOrder)
+    {
+        std::vector<http_exchange_ptr> held;
+        http_server_limits limits;
+        limits.pipelineDepth = 3;
+        auto server = listen(limits, [&](http_exchange_ptr exchange) { held.push_back(std::move(exchange)); });
+        raw_client client(loop.base(), server->address());
+        for (const char* path : { "/1", "/2", "/3", "/4" })
+            client.send(std::string("GET ") + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        loop.runUntil([&] { return held.size() == 3; });
+        loop.runReady();
+        EXPECT_EQ(held.size(), 3u);
+        held[2]->respond({ { 200, {} }, "three" });
+        held[1]->respond({ { 200, {} }, "two" });
+        loop.runReady();
+        EXPECT_EQ(client.received, "");
+        held[0]->respond({ { 200, {} }, "one" });
+        loop.runUntil([&] { return held.size() == 4; });
+        held[3]->respond({ { 200, {} }, "four" });
+        loop.runUntil([&] { return client.received.find("four") != std::string::npos; });
+        EXPECT_LT(client.received.find("one"), client.received.find("two"));
+        EXPECT_LT(client.received.find("two"), client.received.find("three"));
+    }
+
+    // Guards against work for a caller that left while another of its requests waits behind.
+    TEST_F(HttpContractTest, ClientThatLeavesIsNoticedBehindPipelinedRequests)
+    {
+        http_exchange_ptr held;
+        bool isGone = false;
+        auto server = listen({}, [&](http_exchange_ptr exchange) {
+            held = std::move(exchange);
+            held->onClosed([&] { isGone = true; });
+        });
+        raw_client client(loop.base(), server->address());
+        client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        loop.runUntil([&] { return held != nullptr; });
+        client.close();
+        loop.runUntil([&] { return isGone; });
+        EXPECT_FALSE(held->isOpen());
+    }
+
+    // Guards against a client that is told to go on with a body that will be refused.
+    TEST_F(HttpContractTest, ContinueIsSentOnlyWithinTheLimits)
+    {
+        http_server_limits limits;
+        limits.bodyBytes = 10;
+        auto server = listen(limits, [](http_exchange_ptr exchange) { exchange->respond({ { 200, {} }, "done" }); });
+        raw_client small(loop.base(), server->address());
+        small.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+        loop.runUntil([&] { return small.received.find("100 Continue") != std::string::npos; });
+        small.send("abc");
+        loop.runUntil([&] { return small.received.find("done") != std::string::npos; });
+        raw_client large(loop.base(), server->address());
+        large.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 11\r\n\r\n");
+        loop.runUntil([&] { return large.isClosed; });
+        EXPECT_EQ(large.received.find("100 Continue"), std::string::npos);
+        EXPECT_NE(large.received.find(" 413 "), std::string::npos);
+    }
+
+    // Guards against a chunked body that grows past the limit in memory.
+    TEST_F(HttpContractTest, ChunkedBodyAboveTheLimitIsRefused)
+    {
+        http_server_limits limits;
+        limits.bodyBytes = 10;
+        int handled = 0;
+        auto server = listen(limits, [&](http_exchange_ptr) { ++handled; });
+        raw_client client(loop.base(), server->address());
+        client.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" + std::string(255, 'x'));
+        loop.runUntil([&] { return client.isClosed; });
+        EXPECT_NE(client.received.find(" 413 "), std::string::npos);
+        EXPECT_EQ(handled, 0);
+    }
+
+    // Guards against a planned stop that cuts answers: those that are due go out, the last with Connection: close.
+    TEST_F(HttpContractTest, ClosingAfterAnswersCutsNothing)
+    {
+        std::vector<http_exchange_ptr> held;
+        http_server_limits limits;
+        limits.pipelineDepth = 4;
+        auto server = listen(limits, [&](http_exchange_ptr exchange) { held.push_back(std::move(exchange)); });
+        raw_client client(loop.base(), server->address());
+        client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        loop.runUntil([&] { return held.size() == 2; });
+        server->closeAfterAnswers();
+        server->closeIdle();
+        held[0]->respond({ { 200, {} }, "one" });
+        held[1]->respond({ { 200, {} }, "two" });
+        loop.runUntil([&] { return client.isClosed; });
+        EXPECT_LT(client.received.find("one"), client.received.find("Connection: close"));
+        EXPECT_NE(client.received.find("two"), std::string::npos);
+    }
+
+    result<http_response> fetchFrom(test_loop& loop, http_client& client, const std::string& id)
+    {
+        std::optional<result<http_response>> answer;
+        http_request request;
+        request.headers.add("id", id);
+        fetchOwn(
+            client, std::move(request), test_loop::farDeadline(), 1 << 20,
+            [id](const http_response_head& head) { return head.headers.find("id").value_or(id) != id; },
+            [&](result<http_response> value) { answer = std::move(value); });
+        loop.runUntil([&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    std::string answerFor(const std::string& id, const std::string& extra = "")
+    {
+        return "HTTP/1.1 200 OK\r\nid: " + id + "\r\n" + extra + "Content-Length: 2\r\n\r\n" + id;
+    }
+
+    // Guards against an answer of another request: a backend server may answer one request twice.
+    TEST_F(HttpContractTest, LateSecondAnswerIsDropped)
+    {
+        scripted_server server(
+            loop.base(), { answerFor("r1"), answerFor("r1") + answerFor("r2") }, scripted_server::ending::keep_open);
+        auto client = http_client::create(loop.base(), server.address(), 1);
+        EXPECT_EQ(fetchFrom(loop, *client, "r1").value().body, "r1");
+        EXPECT_EQ(fetchFrom(loop, *client, "r2").value().body, "r2");
+        EXPECT_EQ(server.connections, 1);
+    }
+
+    // Guards against bytes behind a whole answer that are taken for the start of the next one.
+    TEST_F(HttpContractTest, ConnectionWithExtraBytesIsNotUsedAgain)
+    {
+        scripted_server server(
+            loop.base(), { answerFor("r1") + "garbage", answerFor("r2") }, scripted_server::ending::keep_open);
+        auto client = http_client::create(loop.base(), server.address(), 1);
+        EXPECT_TRUE(fetchFrom(loop, *client, "r1").has_value());
+        loop.runReady();
+        EXPECT_EQ(client->idleCount(), 0);
+        EXPECT_EQ(fetchFrom(loop, *client, "r2").value().body, "r2");
+        EXPECT_EQ(server.connections, 2);
+    }
+
+    // Guards against an unframed answer that was reset on its way and looks whole, and against one that is whole and
+    // counts as lost.
+    TEST_F(HttpContractTest, UnframedAnswerIsWholeOnlyAfterAnOrderlyClose)
+    {
+        for (const bool isOrderly : { true, false }) {
+            scripted_server server(loop.base(), { "HTTP/1.1 200 OK\r\n\r\nhalf" },
+                isOrderly ? scripted_server::ending::close : scripted_server::ending::reset);
+            http_client_options options;
+            options.acceptsUnframedAnswers = true;
+            auto client = http_client::create(loop.base(), server.address(), options);
+            const auto answer = fetchFrom(loop, *client, "r1");
+            EXPECT_EQ(answer.has_value(), isOrderly);
+            if (answer.has_error()) {
+                EXPECT_EQ(answer.error().outcome, verdict::may_have_run);
+            }
+        }
+    }
+
+    // Guards against a request on a connection that the server is about to close.
+    TEST_F(HttpContractTest, KeepAliveOfTheServerIsRespected)
+    {
+        for (const std::string header : { "Keep-Alive: timeout=0\r\n", "Connection: close\r\n" }) {
+            scripted_server server(
+                loop.base(), { answerFor("r1", header), answerFor("r2") }, scripted_server::ending::keep_open);
+            auto client = http_client::create(loop.base(), server.address(), 1);
+            EXPECT_TRUE(fetchFrom(loop, *client, "r1").has_value());
+            EXPECT_TRUE(fetchFrom(loop, *client, "r2").has_value());
+            EXPECT_EQ(server.connections, 2) << header;
+        }
+    }
+
+    // Guards against an interim answer that is taken for the final one.
+    TEST_F(HttpContractTest, InterimAnswersAreSkipped)
+    {
+        scripted_server server(
+            loop.base(), { "HTTP/1.1 100 Continue\r\n\r\n" + answerFor("r1") }, scripted_server::ending::keep_open);
+        auto client = http_client::create(loop.base(), server.address(), 1);
+        EXPECT_EQ(fetchFrom(loop, *client, "r1").value().head.status, 200);
+    }
+
+    // Guards against a request that hangs for its whole deadline on a host that does not answer: nothing accepts here
+    // once the queue of the listening socket is full.
+    TEST_F(HttpContractTest, ConnectTimeoutIsNotRun)
+    {
+        const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+        ASSERT_EQ(::listen(listener, 0), 0);
+        socklen_t size = sizeof(address);
+        getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+        std::vector<std::unique_ptr<raw_client>> fillers;
+        for (int i = 0; i < 4; ++i)
+            fillers.push_back(
+                std::make_unique<raw_client>(loop.base(), endpoint { "127.0.0.1", ntohs(address.sin_port) }));
+        loop.runReady();
+        http_client_options options;
+        options.connectTimeout = std::chrono::milliseconds(50);
+        auto client = http_client::create(loop.base(), { "127.0.0.1", ntohs(address.sin_port) }, options);
+        const auto answer = loop.fetch(*client, {});
+        ASSERT_TRUE(answer.has_error());
+        EXPECT_EQ(answer.error().outcome, verdict::not_run);
+        ::close(listener);
+    }
+
+} // namespace
+} // namespace heatherdrift
--- a/src/ranges/tests/placeholder_test.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <gtest/gtest.h>
--- /dev/null
+++ b/src/ranges/tests/range_planner_test.cpp
@@ -0,0 +1,120 @@
+#include "ranges/range_planner.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace heatherdrift {
+namespace {
+
+    const time_point start { std::chrono::hours(1) };
+
+    std::vector<range_candidate> idle(const std::vector<life_name>& lives)
+    {
+        std::vector<range_candidate> out;
+        for (const auto& life : lives)
+            out.push_back({ life, 0 });
+        return out;
+    }
+
+    // Guards against an uneven start: a first version of the assignment gave six equal servers 25, 25, 4, 4, 3 and 3
+    // parts of 64.
+    TEST(RangePlanner, FirstAssignmentIsEven)
+    {
+        const auto map = assignUnowned(range_map(), idle({ "a", "b", "c", "d", "e", "f" }), 1);
+        for (const auto& life : { "a", "b", "c", "d", "e", "f" })
+            EXPECT_NEAR(map.keyCount(life), 65536 / 6.0, 2);
+        EXPECT_EQ(map.ranges().size(), 6u);
+    }
+
+    // Guards against keys of a lost owner that stay unserved, and against moves of keys that have a live one.
+    TEST(RangePlanner, OnlyKeysWithoutALiveOwnerMove)
+    {
+        const auto before = assignUnowned(range_map(), idle({ "a", "b", "c" }), 1);
+        const auto after = assignUnowned(before, idle({ "a", "b" }), 2);
+        EXPECT_EQ(after.keyCount("c"), 0u);
+        for (const auto& range : after.ranges()) {
+            if (before.find(range.keys.first).owner == "c")
+                EXPECT_EQ(range.releasing, (std::vector<life_name> { "c" }));
+            else
+                EXPECT_EQ(range.owner, before.find(range.keys.first).owner);
+        }
+    }
+
+    // Guards against a map that is emptied when no server is known.
+    TEST(RangePlanner, WithoutCandidatesNothingMoves)
+    {
+        const auto map = assignUnowned(range_map(), idle({ "a" }), 1);
+        EXPECT_EQ(assignUnowned(map, {}, 2), map);
+        EXPECT_EQ(assignFrom(map, "a", idle({ "a" }), 2), map);
+    }
+
+    // Guards against a server that gets everything because it reports no load.
+    RC_GTEST_PROP(RangePlanner, EveryKeyGetsALiveOwner, ())
+    {
+        std::vector<range_candidate> candidates;
+        for (int i = *rc::gen::inRange(1, 8); i > 0; --i)
+            candidates.push_back({ "life" + std::to_string(i), *rc::gen::inRange(0, 30) / 10.0 });
+        const auto map = assignUnowned(range_map(), candidates, 1);
+        std::uint32_t sum = 0;
+        for (const auto& candidate : candidates)
+            sum += map.keyCount(candidate.life);
+        RC_ASSERT(sum == lastKey + 1u);
+    }
+
+    key_load hotSpot(key_number first, key_number last, int requestsPerKey)
+    {
+        key_load load(std::chrono::milliseconds(1500));
+        for (key_number key = first; key <= last; ++key) {
+            for (int i = 0; i < requestsPerKey; ++i)
+                load.add(key, 1, start);
+        }
+        return load;
+    }
+
+    // Pattern "hot key": some 200 neighbouring keys suddenly draw most of the requests. Guards against a move of the
+    // whole range, which only moves the overload, and of more keys than are needed.
+    TEST(RangePlanner, HotRangeIsSplitAmongServersWithRoom)
+    {
+        const auto map = assignUnowned(range_map(), idle({ "a", "b", "c" }), 1);
+        const auto after
+            = shedLoad(map, { "a", 3.0 }, hotSpot(1000, 1199, 2), { { "b", 0.2 }, { "c", 0.3 } }, {}, 2, start);
+        EXPECT_GT(after.keyCount("b"), map.keyCount("b"));
+        EXPECT_GT(after.keyCount("c"), map.keyCount("c"));
+        EXPECT_LT(map.keyCount("a") - after.keyCount("a"), 200u);
+        EXPECT_EQ(after.find(999).owner, "a");
+        EXPECT_EQ(after.find(1200).owner, "a");
+    }
+
+    // Guards against churn: keys that move back and forth cost more than a small difference in load.
+    TEST(RangePlanner, SmallDifferencesMoveNothing)
+    {
+        const auto map = assignUnowned(range_map(), idle({ "a", "b" }), 1);
+        const auto load = hotSpot(100, 200, 1);
+        EXPECT_EQ(shedLoad(map, { "a", 0.6 }, load, { { "b", 0.0 } }, {}, 2, start), map);
+        EXPECT_EQ(shedLoad(map, { "a", 1.2 }, load, { { "b", 1.0 } }, {}, 2, start), map);
+        EXPECT_EQ(shedLoad(map, { "a", 1.2 }, load, {}, {}, 2, start), map);
+    }
+
+    // Guards against a single hot key that is handed on and on: it cannot be split.
+    TEST(RangePlanner, SingleHotKeyOfItsOwnRangeStays)
+    {
+        auto map
+            = assignUnowned(range_map(), idle({ "a", "b" }), 1).assign({ 50, 50 }, "b", 2).release("a", { 50, 50 }, "");
+        key_load load(std::chrono::seconds(1));
+        for (int i = 0; i < 100; ++i)
+            load.add(50, 1, start);
+        EXPECT_EQ(shedLoad(map, { "b", 2.0 }, load, { { "a", 0.1 } }, {}, 3, start), map);
+    }
+
+    // Guards against loads that never fade, so that yesterday's hot key would move today.
+    TEST(KeyLoad, FadesAndForgets)
+    {
+        auto load = hotSpot(1, 100, 1);
+        EXPECT_NEAR(load.total(start), 100, 0.1);
+        EXPECT_NEAR(load.total(start + std::chrono::milliseconds(1500)), 36.8, 0.5);
+        load.add(5000, 1, start + std::chrono::seconds(60));
+        EXPECT_EQ(load.size(), 1u);
+    }
+
+} // namespace
+} // namespace heatherdrift
