--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -109,6 +109,16 @@
         && evbuffer_get_length(bufferevent_get_output(m_stream.get())) == 0;
 }
 
+void client_connection::halt()
+{
+    m_connectTimer.stop();
+    m_keepsAlive = false;
+    m_handlers = {};
+    m_onLost = nullptr;
+    if (m_stream)
+        bufferevent_disable(m_stream.get(), EV_READ | EV_WRITE);
+}
+
 void client_connection::setReading(bool isReading)
 {
     if (!m_stream)
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -32,6 +32,8 @@
     /// Whether the next request may use the connection.
     bool isReusable(time_point now) const;
     void setReading(bool);
+    /// Nothing is written or reported from now on.
+    void halt();
     /// Whether any byte of the current request was written.
     bool hasWritten() const { return m_hasWritten; }
     const std::string& peerName() const { return m_peerName; }
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -79,6 +79,9 @@
         {
             if (std::exchange(m_isEnding, true))
                 return;
+            // Whether bytes were written is decided here, so none may be written until the connection is closed.
+            if (how.has_error() && m_connection)
+                m_connection->halt();
             m_outcome = std::move(how);
             m_deferred.startOnce({});
         }
--- a/src/http/tests/http_contract_test.cpp
+++ b/src/http/tests/http_contract_test.cpp
@@ -1,3 +1,4 @@
+#include "http/internal/client_connection.h"
 #include "http/tests/test_loop.h"
 
 #include <arpa/inet.h>
@@ -374,5 +375,26 @@
         ::close(listener);
     }
 
+    // Guards against a request that is written after its call has failed as not run: the connection was established in
+    // the turn of the event loop between the end of its time and its close (mondego-mesh scale-1, seed 552307027790).
+    TEST_F(HttpContractTest, HaltedConnectionWritesNothing)
+    {
+        for (const bool isHalted : { true, false }) {
+            std::size_t arrived = 0;
+            auto server = listen({}, [&](http_exchange_ptr exchange) {
+                ++arrived;
+                exchange->respond({});
+            });
+            client_connection connection(loop.base(), server->address(), {});
+            connection.send({ "POST", "/", {}, "once" }, {});
+            if (isHalted)
+                connection.halt();
+            for (int i = 0; i < 20; ++i)
+                loop.runReady();
+            EXPECT_EQ(arrived, isHalted ? 0u : 1u);
+            EXPECT_EQ(connection.hasWritten(), !isHalted);
+        }
+    }
+
 } // namespace
 } // namespace heatherdrift
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -4,6 +4,7 @@
 #include "mesh/internal/entry_service.h"
 #include "mesh/internal/gate_service.h"
 #include "mesh/internal/mesh_directory.h"
+#include "mesh/internal/owner_council.h"
 #include "mesh/internal/ownership.h"
 #include "mesh/internal/peer_watch.h"
 #include "mesh/internal/range_replicas.h"
@@ -46,7 +47,8 @@
                       [this] {
                           m_gate.keysChanged();
                           m_announcements.ownershipChanged();
-                      } })
+                      },
+                      [this] { m_council.ask(); } })
             , m_announcements(
                   base, m_settings, m_port, m_gate, m_ownership, [this] { return isPartitioned(); },
                   [this] { publish(); })
@@ -62,6 +64,7 @@
             , m_watch(base, m_settings, m_directory,
                   { [this](const instance_id& node) { nodeReplaced(node); },
                       [this](const instance_id& node) { removeLost(node); } })
+            , m_council(m_settings, m_directory, m_ownership)
             , m_configurationWatcher(base, *m_store, m_port.configurationRow.table,
                   { [this](const row_change& row) { configurationChanged(row); }, nullptr, nullptr })
             , m_memberWatcher(base, *m_store, memberTable,
@@ -199,10 +202,27 @@
             m_directory.setRowVersion(node, row.version);
         }
 
+        /// Until the first heartbeat, the row of an earlier process tells of the backend server. If it is another one by
+        /// now, it refuses what is sent to it.
+        void presume(const row_change& row)
+        {
+            if (!row.value || m_gate.backend().life != life_name())
+                return;
+            const auto member = parseMember(*row.value);
+            if (member.has_error() || member.value().life.empty() || member.value().isDraining
+                || member.value().service != m_settings.service)
+                return;
+            m_gate.setBackend({ member.value().life, member.value().backendId, member.value().slots });
+            m_ownership.presumeLife(member.value().life);
+            m_directory.update(member.value(), boot_clock::now());
+        }
+
         /// Another node takes this one for lost, or an earlier process wrote the row: it is written anew.
         void ownRowChanged(const row_change& row)
         {
-            if (!m_announcements.current() || (row.value && *row.value == toJson(ownMember())))
+            if (!m_announcements.current())
+                return presume(row);
+            if (row.value && *row.value == toJson(ownMember()))
                 return;
             m_published.reset();
             publish();
@@ -289,6 +309,8 @@
                 return exchange->respond({ { statusOtherNode, {} }, "" });
             if (exchange->request().target == peer_watch::target)
                 return exchange->respond({});
+            if (exchange->request().target == owner_council::target)
+                return m_council.handle(exchange);
             if (exchange->request().target == range_replicas::target)
                 return exchange->respond(
                     { { 200, {} }, toJson(versioned_ranges { m_ownership.version(), m_ownership.map() }) });
@@ -334,6 +356,7 @@
         entry_service m_entry;
         range_replicas m_replicas;
         peer_watch m_watch;
+        owner_council m_council;
         table_watcher m_configurationWatcher;
         table_watcher m_memberWatcher;
         table_watcher m_rangeWatcher; ///< Runs only if the service of this node is partitioned.
--- /dev/null
+++ b/src/mesh/internal/owner_council.cpp
@@ -0,0 +1,94 @@
+#include "mesh/internal/owner_council.h"
+
+#include "mesh/internal/range_replicas.h"
+
+#include <charconv>
+
+namespace heatherdrift {
+
+namespace {
+
+    constexpr const char* holderHeader = "heatherdrift-holder";
+    constexpr const char* versionHeader = "heatherdrift-range-map";
+    constexpr const char* statementHeader = "heatherdrift-map-statement";
+    constexpr auto answerTimeout = std::chrono::milliseconds(1200); ///< Covers a check that times out at the store.
+    constexpr std::size_t answerLimitBytes = 4u << 20;
+
+    const char* nameOf(map_statement statement)
+    {
+        switch (statement) {
+        case map_statement::current:
+            return "current";
+        case map_statement::promised:
+            return "promised";
+        case map_statement::outdated:
+            return "outdated";
+        case map_statement::unknown:
+            break;
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+owner_council::owner_council(const mesh_settings& settings, mesh_directory& directory, ownership& ownership)
+    : m_settings(settings)
+    , m_directory(directory)
+    , m_ownership(ownership)
+{
+}
+
+void owner_council::ask()
+{
+    const auto state = std::make_shared<round>();
+    state->askedAt = boot_clock::now();
+    state->version = m_ownership.version();
+    const auto owners = m_ownership.otherOwners();
+    state->asked = owners.size();
+    for (const auto& life : owners) {
+        const auto* peer = m_directory.findLife(life);
+        if (!peer)
+            continue;
+        http_request request;
+        request.target = target;
+        request.headers.add(targetNodeHeader, peer->member.node);
+        request.headers.add(holderHeader, m_ownership.life());
+        request.headers.add(versionHeader, std::to_string(state->version));
+        fetch(m_directory.client(peer->member.node), std::move(request), state->askedAt + answerTimeout,
+            answerLimitBytes, [this, state](const result<http_response>& answer) { answered(state, answer); });
+    }
+}
+
+void owner_council::answered(const std::shared_ptr<round>& state, const result<http_response>& answer)
+{
+    if (answer.has_error() || state->version != m_ownership.version())
+        return;
+    const auto statement = answer.value().head.headers.find(statementHeader).value_or("");
+    if (statement == nameOf(map_statement::current))
+        return m_ownership.confirmed(state->askedAt);
+    if (statement == nameOf(map_statement::outdated)) {
+        const auto newer = parseVersionedRanges(answer.value().body);
+        if (newer.has_value())
+            m_ownership.adoptNewer(newer.value().map, newer.value().version);
+        return;
+    }
+    if (statement == nameOf(map_statement::promised) && ++state->promised == state->asked)
+        m_ownership.promised(state->askedAt);
+}
+
+void owner_council::handle(const http_exchange_ptr& exchange)
+{
+    const auto& headers = exchange->request().headers;
+    const std::string holder(headers.find(holderHeader).value_or(""));
+    const std::string_view text = headers.find(versionHeader).value_or("");
+    row_version version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    m_ownership.confirmFor(holder, version, [this, exchange](map_statement statement) {
+        http_response response { { 200, { { statementHeader, nameOf(statement) } } }, "" };
+        if (statement == map_statement::outdated)
+            response.body = toJson(versioned_ranges { m_ownership.version(), m_ownership.map() });
+        exchange->respond(std::move(response));
+    });
+}
+
+} // namespace heatherdrift
--- /dev/null
+++ b/src/mesh/internal/owner_council.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "http/http_server.h"
+#include "mesh/internal/mesh_directory.h"
+#include "mesh/internal/ownership.h"
+
+namespace heatherdrift {
+
+/// Lets the owners of a service's keys confirm the range map to each other while the store does not answer all of them.
+class owner_council {
+public:
+    owner_council(const mesh_settings&, mesh_directory&, ownership&);
+
+    /// Asks all other owners whether the range map of this node is current.
+    void ask();
+    /// Answers such a question of another owner.
+    void handle(const http_exchange_ptr&);
+
+    static constexpr const char* target = "/heatherdrift/confirm";
+
+private:
+    struct round {
+        time_point askedAt {};
+        row_version version = 0;
+        std::size_t asked = 0;
+        std::size_t promised = 0;
+    };
+
+    void answered(const std::shared_ptr<round>&, const result<http_response>&);
+
+    const mesh_settings& m_settings;
+    mesh_directory& m_directory;
+    ownership& m_ownership;
+};
+
+} // namespace heatherdrift
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -8,11 +8,20 @@
 
 namespace {
 
-    /// Rides through an outage of the store of 4.5 s and two lost heartbeats.
-    constexpr auto leaseTime = std::chrono::milliseconds(7500);
-    constexpr auto confirmInterval = std::chrono::milliseconds(2000);
+    /// Rides through a restart of the node, or two lost heartbeats; keys of a lost owner are served again a lease later.
+    constexpr auto leaseTime = std::chrono::milliseconds(3500);
+    constexpr auto confirmInterval = std::chrono::milliseconds(1000);
+    constexpr auto extensionInterval = std::chrono::milliseconds(300);
+    /// Longer than the interval of heartbeats and that of the promises.
+    constexpr auto promiseTime = std::chrono::milliseconds(1600);
+    constexpr auto mostExtension = std::chrono::milliseconds(8000); ///< Most outages of the store are shorter.
+    /// A write of an earlier process may take effect for this long; until then this one does not vouch for the map.
+    constexpr auto lateWriteTime = std::chrono::milliseconds(8000);
+    /// A node that owns no keys takes over only if no owner does so for this time.
+    constexpr auto ownersFirst = std::chrono::milliseconds(3000);
     constexpr auto tickInterval = std::chrono::milliseconds(100);
     constexpr auto writeTimeout = std::chrono::milliseconds(1500);
+    constexpr auto confirmTimeout = std::chrono::milliseconds(1000);
     constexpr auto writeBackoff = std::chrono::milliseconds(200);
     /// Clocks of two machines may differ by this share over a lease, and reading them takes a moment.
     constexpr double leaseSafety = 1.05;
@@ -20,14 +29,21 @@
     constexpr double heartbeatsBeforeFirstMap = 2.2;
     /// Each further node in order waits so much longer before it does the coordinator's work.
     constexpr auto coordinatorStep = std::chrono::milliseconds(600);
-    /// A backend server that restarts is given its keys back by its own node within this time.
-    constexpr auto strayPatience = std::chrono::milliseconds(700);
+    /// Another node that sees the same strays sooner, or the owner's own node, goes first.
+    constexpr auto strayPatience = std::chrono::milliseconds(300);
     constexpr auto shedInterval = std::chrono::milliseconds(1500); ///< A move takes effect after about a second.
     /// Owners release keys within about this time unless they are lost.
     constexpr auto usualReleaseTime = std::chrono::milliseconds(2500);
     constexpr std::size_t mostSeen = 4096;
 
-    hold_terms termsOf(const mesh_settings& settings) { return { leaseTime, settings.longestHold, 0.02 }; }
+    /// Milliseconds after which a silent owner holds nothing, by the clock of another machine.
+    std::int64_t silenceAfter(duration hold)
+    {
+        return static_cast<std::int64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(hold).count() * leaseSafety);
+    }
+
+    hold_terms termsOf(const mesh_settings& settings) { return { leaseTime, promiseTime, mostExtension, settings.longestHold, 0.02 }; }
 
 } // namespace
 
@@ -106,8 +122,19 @@
     });
 }
 
+void ownership::presumeLife(const life_name& life)
+{
+    if (m_keeper.life().empty())
+        m_presumedLife = life;
+}
+
 key_access ownership::access(key_number key) const
 {
+    // Until the first heartbeat, the backend server itself refuses what it does not hold.
+    if (m_keeper.life().empty() && !m_presumedLife.empty()) {
+        const auto& range = m_map.find(key);
+        return range.owner == m_presumedLife && range.releasing.empty() ? key_access::serve : key_access::refuse;
+    }
     if (m_keeper.mayServe(key, boot_clock::now()))
         return key_access::serve;
     const auto& range = m_map.find(key);
@@ -166,30 +193,87 @@
 void ownership::confirmIfDue(time_point now)
 {
     const bool isOwner = !m_keeper.life().empty() && m_map.hasOwner(m_keeper.life());
-    if (!isOwner || m_isWriting || now < m_confirmDueAt || now < m_mayWriteAt)
+    if (!isOwner)
+        return;
+    if (now >= m_extensionDueAt && now - m_keeper.confirmedAt() > confirmInterval + extensionInterval) {
+        m_extensionDueAt = now + extensionInterval;
+        m_hooks.askOtherOwners();
+    }
+    if (now < m_confirmDueAt)
         return;
     m_confirmDueAt = now + confirmInterval;
-    m_isWriting = true;
+    checkMap([](bool) {});
+}
+
+void ownership::checkMap(std::function<void(bool isCurrent)> done)
+{
+    const auto now = boot_clock::now();
     conditional_write check;
     check.checks.push_back({ m_row, m_version });
-    m_store.write(check, now + writeTimeout, [this, version = m_version, now](result<write_outcome> outcome) {
-        confirmed(version, now, std::move(outcome));
+    m_store.write(check, now + confirmTimeout,
+        [this, version = m_version, now, done = std::move(done)](const result<write_outcome>& outcome) {
+            const bool isCurrent = outcome.has_value() && outcome.value().isApplied && version == m_version;
+            m_storeAnswered = outcome.has_value();
+            if (outcome.has_value() && !outcome.value().isApplied)
+                handleConflict(outcome.value(), now);
+            else if (isCurrent)
+                m_keeper.confirm(m_map, now);
+            done(isCurrent);
+        });
+}
+
+std::vector<life_name> ownership::otherOwners() const
+{
+    std::set<life_name> lives;
+    for (const auto& range : m_map.ranges())
+        lives.insert(range.owner);
+    lives.erase(m_keeper.life());
+    lives.erase(life_name());
+    return { lives.begin(), lives.end() };
+}
+
+void ownership::confirmed(time_point askedAt) { m_keeper.confirm(m_map, askedAt); }
+
+void ownership::promised(time_point askedAt)
+{
+    m_keeper.extend(askedAt);
+    m_hooks.onChanged();
+}
+
+void ownership::confirmFor(const life_name& holder, row_version version, std::function<void(map_statement)> done)
+{
+    if (version != m_version)
+        return done(version < m_version ? map_statement::outdated : map_statement::unknown);
+    if (!m_storeAnswered)
+        return done(promise(holder));
+    checkMap([this, holder, version, done = std::move(done)](bool isCurrent) {
+        if (isCurrent)
+            return done(map_statement::current);
+        done(version == m_version ? promise(holder) : map_statement::outdated);
     });
 }
 
-void ownership::confirmed(row_version version, time_point sentAt, result<write_outcome> outcome)
+map_statement ownership::promise(const life_name& holder)
 {
-    m_isWriting = false;
-    if (outcome.has_error())
-        return failed(outcome.error());
-    if (!outcome.value().isApplied)
-        return handleConflict(outcome.value(), sentAt);
-    if (version == m_version)
-        m_keeper.confirm(m_map, sentAt);
+    const auto now = boot_clock::now();
+    const bool isOwner = m_map.hasOwner(m_keeper.life());
+    if (!isOwner || m_isWriting || m_unresolvedVersion == m_version || now < m_startedAt + lateWriteTime)
+        return map_statement::unknown;
+    m_promisedUntil[holder] = now + std::chrono::duration_cast<duration>(promiseTime * leaseSafety);
+    return map_statement::promised;
+}
+
+/// Owners that promised a holder not to take its keys over count it as alive meanwhile.
+bool ownership::isPromised(const life_name& holder, time_point now) const
+{
+    const auto found = m_promisedUntil.find(holder);
+    return found != m_promisedUntil.end() && now < found->second;
 }
 
 void ownership::failed(const failure& reason)
 {
+    if (reason.outcome != verdict::not_run)
+        m_unresolvedVersion = m_version;
     // A write whose answer was lost may still take effect; the feed shows it, and a later one conflicts with it.
     m_mayWriteAt = boot_clock::now() + writeBackoff;
     m_confirmDueAt = time_point::min();
@@ -210,7 +294,8 @@
         if (range.owner != m_keeper.life() || range.releasing.empty())
             continue;
         const auto seen = m_seenAt.find(range.fence);
-        if (seen == m_seenAt.end() || now - seen->second < leaseTime * leaseSafety)
+        const auto silence = std::chrono::milliseconds(range.silenceMs);
+        if (range.silenceMs == 0 || seen == m_seenAt.end() || now - seen->second < silence)
             continue;
         for (const auto& life : range.releasing)
             out = out.release(life, range.keys, "");
@@ -232,10 +317,14 @@
     }
     if (m_strayedSince == time_point::max())
         m_strayedSince = now;
-    const auto rank = self - candidates.begin();
+    // Owners alone decide at first: a holder that is cut off from the store asks them, and only them, for promises.
+    const bool isOwner = m_map.hasOwner(m_keeper.life());
+    const auto rank = std::count_if(candidates.begin(), self, [&](const auto& candidate) {
+        return m_version == 0 || !isOwner || m_map.hasOwner(candidate.range.life);
+    });
     time_point due = m_strayedSince + rank * coordinatorStep;
     if (m_version > 0)
-        due += strayPatience;
+        due += isOwner ? strayPatience : ownersFirst;
     else if (m_settings.isFirstStart)
         due = std::max(due,
             m_startedAt + std::chrono::duration_cast<duration>(m_settings.heartbeatInterval * heartbeatsBeforeFirstMap)
@@ -245,7 +334,12 @@
     std::vector<range_candidate> ranges;
     for (const auto& candidate : candidates)
         ranges.push_back(candidate.range);
-    return assignUnowned(map, ranges, m_version + 1);
+    for (const auto& [life, until] : m_promisedUntil) {
+        if (now < until && !isOwnerKnown(life, candidates))
+            return map;
+    }
+    const auto silence = isOwner ? duration(leaseTime) : duration(leaseTime + mostExtension);
+    return assignUnowned(map, ranges, m_version + 1, silenceAfter(silence));
 }
 
 range_map ownership::shed(const range_map& map, time_point now)
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -18,12 +18,22 @@
     bool hasRecentLoad = false;
 };
 
+/// What another owner says of a range map.
+enum class map_statement {
+    current, ///< The store confirmed it just now.
+    promised, ///< The store does not answer; the owner takes no keys of the one who asks over for a while.
+    outdated, ///< A newer one is known.
+    unknown,
+};
+
 struct ownership_hooks {
     /// Backend servers that can own keys, in the order of their nodes.
     std::function<std::vector<owner_candidate>()> candidates;
     std::function<const key_load&()> keyLoad;
     /// Holds or the range map have changed.
     std::function<void()> onChanged;
+    /// The store does not confirm the map: the other owners are to be asked.
+    std::function<void()> askOtherOwners;
 };
 
 /// Keeps the keys of the backend server beside this node: what it may hold, and the range map of its service in the
@@ -51,6 +61,19 @@
     void otherEnded(const life_name&);
     /// The backend server leaves; its keys go to the others.
     void startDrain();
+    /// The backend server had this life before the process started; a heartbeat has yet to confirm it.
+    void presumeLife(const life_name&);
+
+    /// Lives of the other owners, all of which have to promise.
+    std::vector<life_name> otherOwners() const;
+    const life_name& life() const { return m_keeper.life(); }
+    /// Another owner confirmed the present map; it was asked at this time.
+    void confirmed(time_point askedAt);
+    /// All other owners promised; they were asked at this time or later.
+    void promised(time_point askedAt);
+    /// For another owner: whether the map of this version is current.
+    void confirmFor(const life_name& holder, row_version, std::function<void(map_statement)>);
+    void adoptNewer(const range_map& map, row_version version) { adopt(map, version, std::nullopt); }
     void distrustGrants() { m_keeper.distrustGrants(); }
     /// Whether keys are about to be granted to the backend server.
     bool awaitsGrant() const;
@@ -65,7 +88,9 @@
     range_map shed(const range_map&, time_point now);
     void propose();
     void wrote(const range_map& proposed, time_point sentAt, result<write_outcome>);
-    void confirmed(row_version, time_point sentAt, result<write_outcome>);
+    void checkMap(std::function<void(bool isCurrent)>);
+    map_statement promise(const life_name& holder);
+    bool isPromised(const life_name& holder, time_point now) const;
     void failed(const failure&);
     void logMap(const range_map&, row_version, bool isOwnCall) const;
     void handleConflict(const write_outcome&, time_point sentAt);
@@ -86,6 +111,11 @@
     life_name m_previousLife; ///< Of the backend server beside this node, before the present one.
     bool m_isWriting = false;
     time_point m_startedAt;
+    bool m_storeAnswered = true; ///< The last check of the map.
+    row_version m_unresolvedVersion = -1; ///< A write that expects this version may still take effect.
+    std::map<life_name, time_point> m_promisedUntil; ///< Owners whose keys this node does not take over.
+    life_name m_presumedLife;
+    time_point m_extensionDueAt = time_point::min();
     time_point m_confirmDueAt = time_point::min();
     time_point m_mayWriteAt = time_point::min(); ///< After a failed write.
     time_point m_mayShedAt = time_point::min();
--- a/src/ranges/hold_keeper.h
+++ b/src/ranges/hold_keeper.h
@@ -8,6 +8,8 @@
 /// Terms of the holds that a backend server is given.
 struct hold_terms {
     duration lease {}; ///< A hold ends at the latest this long after the range map was confirmed.
+    duration promise {}; ///< Other owners promise for this long that they take no keys over.
+    duration mostExtension {}; ///< Promises extend a hold at most this long beyond its lease.
     duration longestHold {}; ///< Backend servers accept no longer hold.
     double clockDrift = 0.02; ///< Share by which a backend server's clock may run slow.
 
@@ -65,11 +67,14 @@
 
     /// The range map was the current one in the store at the time, or later.
     void confirm(const range_map&, time_point at);
+    /// All other owners promised at the time, or later, not to take keys of the life over.
+    void extend(time_point at);
     /// A newer range map is known; the time of the last confirmation stays.
     void setMap(const range_map& map);
     /// A backend server with another life answers from now on; the earlier one has ended.
     void startLife(const life_name&);
     const life_name& life() const { return m_life; }
+    time_point confirmedAt() const { return m_confirmedAt; }
 
     /// Takes in a report of the life; reports come in the order in which they were sent.
     void report(const hold_report&);
@@ -85,13 +90,15 @@
     bool hasGrants() const { return !m_granted.empty(); }
 
 private:
+    time_point latestHoldEnd() const;
     duration holdAt(time_point receivedAt) const;
     bool isHeld(key_range) const;
 
     hold_terms m_terms;
     life_name m_life;
     range_map m_map;
-    time_point m_confirmedAt = time_point::min();
+    time_point m_confirmedAt {}; ///< The epoch of the clock: never.
+    time_point m_promisedUntil = time_point::min();
     time_point m_holdEnd; ///< No hold that was ever given to the life lasts longer.
     std::vector<granted_range> m_granted; ///< By the last answer.
     std::vector<granted_range> m_grantedBefore; ///< By the answer that the last report may not have known.
--- a/src/ranges/internal/hold_keeper.cpp
+++ b/src/ranges/internal/hold_keeper.cpp
@@ -28,7 +28,7 @@
 
 hold_keeper::hold_keeper(const hold_terms& terms, time_point startedAt)
     : m_terms(terms)
-    , m_holdEnd(startedAt + terms.lease)
+    , m_holdEnd(startedAt + std::max(terms.lease, terms.promise))
 {
 }
 
@@ -53,12 +53,18 @@
     m_reportCount = 0;
 }
 
+void hold_keeper::extend(time_point at) { m_promisedUntil = std::max(m_promisedUntil, at + m_terms.promise); }
+
+time_point hold_keeper::latestHoldEnd() const
+{
+    const auto byStore = m_confirmedAt + m_terms.lease;
+    return std::max(byStore, std::min(m_promisedUntil, byStore + m_terms.mostExtension));
+}
+
 duration hold_keeper::holdAt(time_point receivedAt) const
 {
-    if (m_confirmedAt == time_point::min())
-        return {};
     // The report was sent before it was received, so a hold counted from its sending ends before this one.
-    const duration left = m_confirmedAt + m_terms.lease - receivedAt;
+    const duration left = latestHoldEnd() - receivedAt;
     const auto byClock = std::chrono::duration_cast<duration>(left * (1 - m_terms.clockDrift));
     return std::min(byClock, m_terms.longestHold);
 }
--- a/src/ranges/internal/range_map.cpp
+++ b/src/ranges/internal/range_map.cpp
@@ -11,7 +11,7 @@
     bool canJoin(const owned_range& left, const owned_range& right)
     {
         return left.owner == right.owner && left.fence == right.fence && left.releasing == right.releasing
-            && left.handover == right.handover;
+            && left.handover == right.handover && left.silenceMs == right.silenceMs;
     }
 
     std::vector<owned_range> joined(std::vector<owned_range> ranges)
@@ -59,10 +59,11 @@
     result<owned_range> readRange(const json& value)
     {
         const auto malformed = [] { return notRun(error_code::bad_request, "malformed range"); };
-        if (!value.is_array() || value.size() != 6 || !value[0].is_number_unsigned() || !value[1].is_number_unsigned()
-            || !value[2].is_string() || !value[3].is_number_integer() || !value[4].is_array() || !value[5].is_string())
+        if (!value.is_array() || value.size() != 7 || !value[0].is_number_unsigned() || !value[1].is_number_unsigned()
+            || !value[2].is_string() || !value[3].is_number_integer() || !value[4].is_array() || !value[5].is_string()
+            || !value[6].is_number_integer())
             return malformed();
-        owned_range range { { value[0], value[1] }, value[2], value[3], {}, value[5] };
+        owned_range range { { value[0], value[1] }, value[2], value[3], {}, value[5], value[6] };
         for (const auto& name : value[4]) {
             if (!name.is_string())
                 return malformed();
@@ -74,7 +75,7 @@
 } // namespace
 
 range_map::range_map()
-    : m_ranges { { { 0, lastKey }, {}, 0, {}, {} } }
+    : m_ranges { { { 0, lastKey }, {}, 0, {}, {}, 0 } }
 {
 }
 
@@ -104,7 +105,8 @@
     return count;
 }
 
-range_map range_map::assign(key_range keys, const life_name& owner, fencing_token fence) const
+range_map range_map::assign(
+    key_range keys, const life_name& owner, fencing_token fence, std::int64_t silenceMs) const
 {
     auto ranges = splitAt(m_ranges, keys);
     for (auto& range : ranges) {
@@ -113,6 +115,7 @@
         addOnce(range.releasing, range.owner);
         range.owner = owner;
         range.fence = fence;
+        range.silenceMs = std::max(range.silenceMs, silenceMs);
         range.handover.clear();
     }
     return range_map(std::move(ranges));
@@ -122,8 +125,11 @@
 {
     auto ranges = splitAt(m_ranges, keys);
     for (auto& range : ranges) {
-        if (keys.covers(range.keys) && std::erase(range.releasing, life) > 0)
-            range.handover = handover;
+        if (!keys.covers(range.keys) || std::erase(range.releasing, life) == 0)
+            continue;
+        range.handover = handover;
+        if (range.releasing.empty())
+            range.silenceMs = 0;
     }
     return range_map(std::move(ranges));
 }
@@ -132,7 +138,8 @@
 {
     auto ranges = m_ranges;
     for (auto& range : ranges) {
-        std::erase(range.releasing, ended);
+        if (std::erase(range.releasing, ended) > 0 && range.releasing.empty())
+            range.silenceMs = 0;
         if (range.owner != ended)
             continue;
         range.owner = successor;
@@ -147,7 +154,8 @@
     json list = json::array();
     for (const auto& range : m_ranges)
         list.push_back(
-            { range.keys.first, range.keys.last, range.owner, range.fence, range.releasing, range.handover });
+            { range.keys.first, range.keys.last, range.owner, range.fence, range.releasing,
+            range.handover, range.silenceMs });
     return json { { "ranges", std::move(list) } }.dump();
 }
 
--- a/src/ranges/internal/range_planner.cpp
+++ b/src/ranges/internal/range_planner.cpp
@@ -25,7 +25,7 @@
 
     /// Divides the keys of some ranges among the candidates by their shares, in order.
     range_map divide(const range_map& map, const std::vector<key_range>& ranges,
-        const std::vector<range_candidate>& candidates, fencing_token fence)
+        const std::vector<range_candidate>& candidates, fencing_token fence, std::int64_t silenceMs = 0)
     {
         const double total = std::accumulate(
             ranges.begin(), ranges.end(), 0.0, [](double sum, const key_range& range) { return sum + range.size(); });
@@ -39,7 +39,7 @@
                 const bool isLast = target + 1 == candidates.size();
                 const double size = isLast ? range.last - first + 1.0 : std::max(1.0, std::round(room));
                 const auto last = static_cast<key_number>(std::min<double>(range.last, first + size - 1));
-                out = out.assign({ first, last }, candidates[target].life, fence);
+                out = out.assign({ first, last }, candidates[target].life, fence, silenceMs);
                 room -= last - first + 1.0;
                 first = last + 1;
                 if (room < 0.5 && !isLast)
@@ -56,7 +56,8 @@
 
 } // namespace
 
-range_map assignUnowned(const range_map& map, const std::vector<range_candidate>& candidates, fencing_token fence)
+range_map assignUnowned(const range_map& map, const std::vector<range_candidate>& candidates, fencing_token fence,
+    std::int64_t silenceMs)
 {
     std::vector<key_range> ranges;
     for (const auto& range : map.ranges()) {
@@ -65,7 +66,7 @@
     }
     if (ranges.empty() || candidates.empty())
         return map;
-    return divide(map, ranges, candidates, fence);
+    return divide(map, ranges, candidates, fence, silenceMs);
 }
 
 range_map assignFrom(
--- a/src/ranges/range_map.h
+++ b/src/ranges/range_map.h
@@ -37,6 +37,8 @@
     fencing_token fence = 0;
     std::vector<life_name> releasing; ///< Earlier owners that may still hold the keys.
     std::string handover; ///< From the last holder's release; lets the owner start with the holder's state.
+    /// Milliseconds after which an earlier owner that is silent holds the keys no more; 0 if that was not decided.
+    std::int64_t silenceMs = 0;
 
     bool operator==(const owned_range&) const = default;
 };
@@ -54,7 +56,7 @@
     std::uint32_t keyCount(const life_name&) const;
 
     /// Gives the keys to an owner. Earlier owners have to release them first.
-    range_map assign(key_range, const life_name& owner, fencing_token) const;
+    range_map assign(key_range, const life_name& owner, fencing_token, std::int64_t silenceMs = 0) const;
     /// The life holds none of the keys any more.
     range_map release(const life_name&, key_range, const std::string& handover) const;
     /// The life has ended, so that it holds nothing; its keys go to the successor. An empty one leaves them unowned.
--- a/src/ranges/range_planner.h
+++ b/src/ranges/range_planner.h
@@ -17,7 +17,8 @@
 
 /// Gives keys without an owner, and those of owners that are not candidates, to the candidates: evenly at first, later
 /// more to the less loaded ones. Owners that left are kept as releasing. No candidates: the map stays as it is.
-range_map assignUnowned(const range_map&, const std::vector<range_candidate>&, fencing_token);
+range_map assignUnowned(
+    const range_map&, const std::vector<range_candidate>&, fencing_token, std::int64_t silenceMs = 0);
 
 /// Gives all keys of an owner that leaves to the other candidates.
 range_map assignFrom(const range_map&, const life_name& leaving, const std::vector<range_candidate>&, fencing_token);
--- a/src/ranges/tests/hold_keeper_test.cpp
+++ b/src/ranges/tests/hold_keeper_test.cpp
@@ -9,7 +9,7 @@
     using std::chrono::seconds;
 
     const time_point start { std::chrono::hours(1) };
-    const hold_terms terms { seconds(4), seconds(10), 0.02 };
+    const hold_terms terms { seconds(4), seconds(2), seconds(6), seconds(10), 0.02 };
     constexpr key_range all { 0, lastKey };
 
     class HoldKeeperTest : public testing::Test {
@@ -39,6 +39,21 @@
         EXPECT_FALSE(beat(start + seconds(4)).isValid);
     }
 
+    // Guards against keys that are unserved for as long as the store is away, and against a hold that promises extend
+    // for ever: a takeover by a server that gave no promise waits for the longest extension.
+    TEST_F(HoldKeeperTest, PromisesOfTheOtherOwnersExtendAHoldWithinABound)
+    {
+        keeper.startLife("a");
+        keeper.confirm(owned, start);
+        keeper.extend(start + seconds(5));
+        const auto grant = beat(start + seconds(5));
+        ASSERT_TRUE(grant.isValid);
+        EXPECT_LE(grant.hold, duration(seconds(2)));
+        keeper.extend(start + seconds(60));
+        EXPECT_FALSE(beat(start + seconds(60)).isValid);
+        EXPECT_TRUE(beat(start + seconds(9)).isValid);
+    }
+
     // Guards against requests that are sent after the hold has ended.
     TEST_F(HoldKeeperTest, ServesOnlyWhileTheHoldLasts)
     {
--- a/src/ranges/tests/range_map_test.cpp
+++ b/src/ranges/tests/range_map_test.cpp
@@ -73,9 +73,9 @@
     // Guards against a malformed row of another writer that is taken for a map.
     TEST(RangeMap, MalformedTextIsRejected)
     {
-        for (const char* text : { "", "[]", "{}", R"({"ranges":[]})", R"({"ranges":[[0,10,"a",1,[],""]]})",
-                 R"({"ranges":[[0,65535,"a","1",[],""]]})", R"({"ranges":[[5,65535,"a",1,[],""]]})",
-                 R"({"ranges":[[0,99,"a",1,[],""],[50,65535,"a",1,[],""]]})" })
+        for (const char* text : { "", "[]", "{}", R"({"ranges":[]})", R"({"ranges":[[0,10,"a",1,[],"",0]]})",
+                 R"({"ranges":[[0,65535,"a","1",[],"",0]]})", R"({"ranges":[[5,65535,"a",1,[],"",0]]})",
+                 R"({"ranges":[[0,99,"a",1,[],"",0],[50,65535,"a",1,[],"",0]]})" })
             EXPECT_TRUE(range_map::fromJson(text).has_error()) << text;
     }
 
