--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -68,7 +68,11 @@
             , m_configurationWatcher(base, *m_store, m_port.configurationRow.table,
                   { [this](const row_change& row) { configurationChanged(row); }, nullptr, nullptr })
             , m_memberWatcher(base, *m_store, memberTable,
-                  { [this](const row_change& row) { memberChanged(row); }, [this] { m_areMembersRead = true; },
+                  { [this](const row_change& row) { memberChanged(row); },
+                      [this] {
+                          m_areMembersRead = true;
+                          publish();
+                      },
                       [](bool isAvailable) {
                           logEvent(isAvailable ? log_event::store_available : log_event::store_unavailable);
                       } })
@@ -202,8 +206,8 @@
             m_directory.setRowVersion(node, row.version);
         }
 
-        /// Until the first heartbeat, the row of an earlier process tells of the backend server. If it is another one by
-        /// now, it refuses what is sent to it.
+        /// Until the first heartbeat, the row of an earlier process tells of the backend server. If it is another one
+        /// by now, it refuses what is sent to it.
         void presume(const row_change& row)
         {
             if (!row.value || m_gate.backend().life != life_name())
@@ -224,6 +228,9 @@
                 return presume(row);
             if (row.value && *row.value == toJson(ownMember()))
                 return;
+            const auto member = row.value ? parseMember(*row.value) : notRun(error_code::not_found, "removed");
+            if (member.has_value() && startOf(member.value().life) < m_announcements.current()->startedAt)
+                m_ownership.predecessorEnded(member.value().life);
             m_published.reset();
             publish();
         }
@@ -279,7 +286,8 @@
         {
             const auto member = ownMember();
             m_directory.update(member, boot_clock::now());
-            if (m_isPublishing || m_published == member)
+            // The row of an earlier process names the life whose keys the present one takes over.
+            if (!m_areMembersRead || m_isPublishing || m_published == member)
                 return;
             m_isPublishing = true;
             conditional_write change;
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    /// Rides through a restart of the node, or two lost heartbeats; keys of a lost owner are served again a lease later.
+    /// Rides through a restart of the node, or two lost heartbeats; keys of a lost owner are served again a lease
+    /// later.
     constexpr auto leaseTime = std::chrono::milliseconds(3500);
     constexpr auto confirmInterval = std::chrono::milliseconds(1000);
     constexpr auto extensionInterval = std::chrono::milliseconds(300);
@@ -43,7 +44,10 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(hold).count() * leaseSafety);
     }
 
-    hold_terms termsOf(const mesh_settings& settings) { return { leaseTime, promiseTime, mostExtension, settings.longestHold, 0.02 }; }
+    hold_terms termsOf(const mesh_settings& settings)
+    {
+        return { leaseTime, promiseTime, mostExtension, settings.longestHold, 0.02 };
+    }
 
 } // namespace
 
@@ -145,12 +149,10 @@
 {
     const auto life = announcement.life();
     if (life != m_keeper.life()) {
-        // The new life answers at the address of the old one, which has therefore ended.
-        if (!m_keeper.life().empty())
-            m_ended.insert(m_keeper.life());
-        m_previousLife = m_keeper.life();
+        const auto previous = m_keeper.life().empty() ? m_presumedLife : m_keeper.life();
         m_keeper.startLife(life);
         m_isDraining = false;
+        predecessorEnded(previous);
     }
     m_keeper.report({ life, announcement.holds, announcement.released });
     propose();
@@ -171,6 +173,16 @@
     propose();
 }
 
+void ownership::predecessorEnded(const life_name& previous)
+{
+    // The present life answers at the address of the earlier one, which has therefore ended.
+    if (previous.empty() || previous == m_keeper.life())
+        return;
+    m_ended.insert(previous);
+    m_previousLife = previous;
+    propose();
+}
+
 void ownership::otherEnded(const life_name& life)
 {
     m_ended.insert(life);
@@ -319,9 +331,8 @@
         m_strayedSince = now;
     // Owners alone decide at first: a holder that is cut off from the store asks them, and only them, for promises.
     const bool isOwner = m_map.hasOwner(m_keeper.life());
-    const auto rank = std::count_if(candidates.begin(), self, [&](const auto& candidate) {
-        return m_version == 0 || !isOwner || m_map.hasOwner(candidate.range.life);
-    });
+    const auto rank = std::count_if(candidates.begin(), self,
+        [&](const auto& candidate) { return m_version == 0 || !isOwner || m_map.hasOwner(candidate.range.life); });
     time_point due = m_strayedSince + rank * coordinatorStep;
     if (m_version > 0)
         due += isOwner ? strayPatience : ownersFirst;
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -57,6 +57,8 @@
     hold_grant grant(time_point receivedAt);
     /// The backend server has ended for certain.
     void backendEnded(const life_name&);
+    /// An earlier life of the backend server beside this node; the present one takes its keys over at once.
+    void predecessorEnded(const life_name&);
     /// The backend server of another node has ended for certain.
     void otherEnded(const life_name&);
     /// The backend server leaves; its keys go to the others.
--- a/src/mesh/platform_port.h
+++ b/src/mesh/platform_port.h
@@ -54,7 +54,7 @@
     std::vector<held_range> holds;
     std::vector<released_range> released;
 
-    life_name life() const { return id + "@" + std::to_string(startedAt); }
+    life_name life() const { return makeLife(id, startedAt); }
     bool operator==(const backend_announcement&) const = default;
 };
 
--- a/src/ranges/internal/range_map.cpp
+++ b/src/ranges/internal/range_map.cpp
@@ -3,6 +3,7 @@
 #include "base/json_reader.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace heatherdrift {
 
@@ -74,6 +75,17 @@
 
 } // namespace
 
+life_name makeLife(const std::string& id, std::int64_t startedAtMs) { return id + "@" + std::to_string(startedAtMs); }
+
+std::int64_t startOf(const life_name& life)
+{
+    const auto position = life.rfind('@');
+    std::int64_t value = 0;
+    if (position != life_name::npos)
+        std::from_chars(life.data() + position + 1, life.data() + life.size(), value);
+    return value;
+}
+
 range_map::range_map()
     : m_ranges { { { 0, lastKey }, {}, 0, {}, {}, 0 } }
 {
@@ -105,8 +117,7 @@
     return count;
 }
 
-range_map range_map::assign(
-    key_range keys, const life_name& owner, fencing_token fence, std::int64_t silenceMs) const
+range_map range_map::assign(key_range keys, const life_name& owner, fencing_token fence, std::int64_t silenceMs) const
 {
     auto ranges = splitAt(m_ranges, keys);
     for (auto& range : ranges) {
@@ -153,9 +164,8 @@
 {
     json list = json::array();
     for (const auto& range : m_ranges)
-        list.push_back(
-            { range.keys.first, range.keys.last, range.owner, range.fence, range.releasing,
-            range.handover, range.silenceMs });
+        list.push_back({ range.keys.first, range.keys.last, range.owner, range.fence, range.releasing, range.handover,
+            range.silenceMs });
     return json { { "ranges", std::move(list) } }.dump();
 }
 
--- a/src/ranges/internal/range_planner.cpp
+++ b/src/ranges/internal/range_planner.cpp
@@ -56,8 +56,8 @@
 
 } // namespace
 
-range_map assignUnowned(const range_map& map, const std::vector<range_candidate>& candidates, fencing_token fence,
-    std::int64_t silenceMs)
+range_map assignUnowned(
+    const range_map& map, const std::vector<range_candidate>& candidates, fencing_token fence, std::int64_t silenceMs)
 {
     std::vector<key_range> ranges;
     for (const auto& range : map.ranges()) {
--- a/src/ranges/range_map.h
+++ b/src/ranges/range_map.h
@@ -27,6 +27,9 @@
 
 /// One run of a backend server from its start to its end. A restart is a new life, also under the same id.
 using life_name = std::string;
+life_name makeLife(const std::string& id, std::int64_t startedAtMs);
+/// Start of a life in milliseconds since 1970; 0 if the name does not tell.
+std::int64_t startOf(const life_name&);
 /// Only grows over the history of a key; the backend server refuses a grant below one it has seen.
 using fencing_token = std::int64_t;
 
