--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -67,6 +67,7 @@
             return peer->member.node;
         m_context.probe(peer->member.node);
     }
+    m_context.refreshMap(m_request.service);
     return std::nullopt;
 }
 
--- a/src/mesh/internal/entry_service.h
+++ b/src/mesh/internal/entry_service.h
@@ -22,6 +22,8 @@
     mesh_directory& directory;
     gate_service& gate;
     std::function<const range_map*(const std::string& service)> map;
+    /// No owner that the range map names answers.
+    std::function<void(const std::string& service)> refreshMap;
     /// Another node answers at the node's address.
     std::function<void(const instance_id&)> nodeReplaced;
     /// A request needs a node that is unreachable.
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -22,6 +22,7 @@
     constexpr const char* rangeTable = "heatherdrift-ranges"; ///< Keys are services.
     constexpr auto memberWriteTimeout = std::chrono::milliseconds(1500);
     constexpr auto memberWriteBackoff = std::chrono::milliseconds(300);
+    constexpr double demandOfInterest = 0.6; ///< A node with more looks for others that could take keys.
     constexpr auto recentLoad = std::chrono::seconds(2); ///< Older loads say nothing of a hot key's place.
     constexpr auto stopPollInterval = std::chrono::milliseconds(50);
     /// Callers see after two missed readiness checks, a second apart, that this node takes no more.
@@ -43,7 +44,8 @@
                   { [this](key_number key) { return m_ownership.access(key); },
                       [this] { return m_ownership.version(); }, [this] { m_announcements.backendRefused(); } })
             , m_ownership(base, m_settings, *m_store, { rangeTable, m_settings.service },
-                  { [this] { return candidates(); }, [this]() -> const key_load& { return m_gate.keyLoad(); },
+                  { boot_clock::now, [this] { return candidates(); },
+                      [this]() -> const key_load& { return m_gate.keyLoad(); },
                       [this] {
                           m_gate.keysChanged();
                           m_announcements.ownershipChanged();
@@ -54,6 +56,10 @@
                   [this] { publish(); })
             , m_entry({ base, m_settings, m_port, m_routes, m_directory, m_gate,
                   [this](const std::string& service) { return findMap(service); },
+                  [this](const std::string& service) {
+                      if (service != m_settings.service)
+                          m_replicas.refresh(service, boot_clock::now());
+                  },
                   [this](const instance_id& node) { nodeReplaced(node); },
                   [this](const instance_id& node) { m_watch.probe(node); },
                   [this](const std::string& service, const instance_id& node, row_version version) {
@@ -63,7 +69,8 @@
             , m_replicas(m_directory)
             , m_watch(base, m_settings, m_directory,
                   { [this](const instance_id& node) { nodeReplaced(node); },
-                      [this](const instance_id& node) { removeLost(node); } })
+                      [this](const instance_id& node) { removeLost(node); },
+                      [this] { return isPartitioned() && m_gate.load().demand > demandOfInterest; } })
             , m_council(m_settings, m_directory, m_ownership)
             , m_configurationWatcher(base, *m_store, m_port.configurationRow.table,
                   { [this](const row_change& row) { configurationChanged(row); }, nullptr, nullptr })
@@ -149,7 +156,7 @@
         {
             const auto now = boot_clock::now();
             std::vector<owner_candidate> out;
-            if (!isPartitioned())
+            if (!isPartitioned() || !m_areMembersRead)
                 return out;
             for (const auto* peer : m_directory.available(m_settings.service, now)) {
                 const bool isSelf = peer->member.node == m_settings.node;
@@ -316,7 +323,7 @@
             if (target != m_settings.node)
                 return exchange->respond({ { statusOtherNode, {} }, "" });
             if (exchange->request().target == peer_watch::target)
-                return exchange->respond({});
+                return exchange->respond(encodePing());
             if (exchange->request().target == owner_council::target)
                 return m_council.handle(exchange);
             if (exchange->request().target == range_replicas::target)
@@ -336,6 +343,14 @@
 
         /// The backend server may still make nested calls while it runs requests, so the listener for callers closes
         /// only after the gate is empty.
+        http_response encodePing() const
+        {
+            gate_answer answer;
+            answer.outcome = verdict::ran;
+            answer.load = m_gate.load();
+            return encodeAnswer(answer);
+        }
+
         void stopIfDone()
         {
             const auto now = boot_clock::now();
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -32,6 +32,8 @@
     constexpr auto coordinatorStep = std::chrono::milliseconds(600);
     /// Another node that sees the same strays sooner, or the owner's own node, goes first.
     constexpr auto strayPatience = std::chrono::milliseconds(300);
+    /// After a start of all nodes, each needs about this time to announce its backend server.
+    constexpr auto startPatience = std::chrono::milliseconds(2500);
     constexpr auto shedInterval = std::chrono::milliseconds(1500); ///< A move takes effect after about a second.
     /// Owners release keys within about this time unless they are lost.
     constexpr auto usualReleaseTime = std::chrono::milliseconds(2500);
@@ -57,9 +59,9 @@
     , m_store(store)
     , m_row(std::move(mapRow))
     , m_hooks(std::move(hooks))
-    , m_keeper(termsOf(settings), boot_clock::now())
-    , m_startedAt(boot_clock::now())
-    , m_tick(base, [this] { tick(); })
+    , m_keeper(termsOf(settings), m_hooks.now())
+    , m_startedAt(m_hooks.now())
+    , m_tick(base, [this] { advance(); })
 {
 }
 
@@ -101,7 +103,7 @@
         logMap(map, version, readAt.has_value());
     m_version = version;
     m_map = map;
-    const auto now = boot_clock::now();
+    const auto now = m_hooks.now();
     for (const auto& range : map.ranges())
         m_seenAt.try_emplace(range.fence, now);
     if (m_seenAt.size() > mostSeen)
@@ -116,7 +118,7 @@
 bool ownership::isGrantNear(const owned_range& range) const
 {
     const auto seen = m_seenAt.find(range.fence);
-    return range.releasing.empty() || (seen != m_seenAt.end() && boot_clock::now() - seen->second < usualReleaseTime);
+    return range.releasing.empty() || (seen != m_seenAt.end() && m_hooks.now() - seen->second < usualReleaseTime);
 }
 
 bool ownership::awaitsGrant() const
@@ -139,7 +141,7 @@
         const auto& range = m_map.find(key);
         return range.owner == m_presumedLife && range.releasing.empty() ? key_access::serve : key_access::refuse;
     }
-    if (m_keeper.mayServe(key, boot_clock::now()))
+    if (m_keeper.mayServe(key, m_hooks.now()))
         return key_access::serve;
     const auto& range = m_map.find(key);
     return range.owner == m_keeper.life() && isGrantNear(range) ? key_access::wait : key_access::refuse;
@@ -195,9 +197,9 @@
     propose();
 }
 
-void ownership::tick()
+void ownership::advance()
 {
-    const auto now = boot_clock::now();
+    const auto now = m_hooks.now();
     confirmIfDue(now);
     propose();
 }
@@ -207,7 +209,9 @@
     const bool isOwner = !m_keeper.life().empty() && m_map.hasOwner(m_keeper.life());
     if (!isOwner)
         return;
-    if (now >= m_extensionDueAt && now - m_keeper.confirmedAt() > confirmInterval + extensionInterval) {
+    // A write of this node that may still take effect would make the promises of the others void.
+    if (now >= m_extensionDueAt && m_unresolvedVersion != m_version
+        && now - m_keeper.confirmedAt() > confirmInterval + extensionInterval) {
         m_extensionDueAt = now + extensionInterval;
         m_hooks.askOtherOwners();
     }
@@ -219,7 +223,7 @@
 
 void ownership::checkMap(std::function<void(bool isCurrent)> done)
 {
-    const auto now = boot_clock::now();
+    const auto now = m_hooks.now();
     conditional_write check;
     check.checks.push_back({ m_row, m_version });
     m_store.write(check, now + confirmTimeout,
@@ -267,7 +271,7 @@
 
 map_statement ownership::promise(const life_name& holder)
 {
-    const auto now = boot_clock::now();
+    const auto now = m_hooks.now();
     const bool isOwner = m_map.hasOwner(m_keeper.life());
     if (!isOwner || m_isWriting || m_unresolvedVersion == m_version || now < m_startedAt + lateWriteTime)
         return map_statement::unknown;
@@ -287,7 +291,7 @@
     if (reason.outcome != verdict::not_run)
         m_unresolvedVersion = m_version;
     // A write whose answer was lost may still take effect; the feed shows it, and a later one conflicts with it.
-    m_mayWriteAt = boot_clock::now() + writeBackoff;
+    m_mayWriteAt = m_hooks.now() + writeBackoff;
     m_confirmDueAt = time_point::min();
     logEvent(log_event::range_map_write_failed,
         { { "version", std::to_string(m_version) }, { "verdict", std::string(toString(reason.outcome)) },
@@ -335,7 +339,7 @@
         [&](const auto& candidate) { return m_version == 0 || !isOwner || m_map.hasOwner(candidate.range.life); });
     time_point due = m_strayedSince + rank * coordinatorStep;
     if (m_version > 0)
-        due += isOwner ? strayPatience : ownersFirst;
+        due = std::max(due + (isOwner ? strayPatience : ownersFirst), m_startedAt + startPatience);
     else if (m_settings.isFirstStart)
         due = std::max(due,
             m_startedAt + std::chrono::duration_cast<duration>(m_settings.heartbeatInterval * heartbeatsBeforeFirstMap)
@@ -393,6 +397,7 @@
     }
     next = coordinate(next, now);
     next = shed(next, now);
+    next = next.withSilence(silenceAfter(leaseTime));
     if (next == m_map)
         return std::nullopt;
     return next;
@@ -400,7 +405,7 @@
 
 void ownership::propose()
 {
-    const auto now = boot_clock::now();
+    const auto now = m_hooks.now();
     if (m_isWriting || !m_isTableRead || now < m_mayWriteAt)
         return;
     auto next = nextMap(now);
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -27,6 +27,7 @@
 };
 
 struct ownership_hooks {
+    clock_function now;
     /// Backend servers that can own keys, in the order of their nodes.
     std::function<std::vector<owner_candidate>()> candidates;
     std::function<const key_load&()> keyLoad;
@@ -46,7 +47,10 @@
     void rowChanged(const row_change&);
     /// The whole table was read, so that a missing row does not exist.
     void tableRead();
+    /// Calls advance() regularly from now on.
     void start();
+    /// Does what is due.
+    void advance();
 
     const range_map& map() const { return m_map; }
     row_version version() const { return m_version; }
@@ -82,7 +86,6 @@
 
 private:
     void adopt(const range_map&, row_version, std::optional<time_point> readAt);
-    void tick();
     void confirmIfDue(time_point now);
     std::optional<range_map> nextMap(time_point now);
     range_map releaseOutwaited(const range_map&, time_point now) const;
--- a/src/mesh/internal/peer_watch.cpp
+++ b/src/mesh/internal/peer_watch.cpp
@@ -7,6 +7,7 @@
     constexpr auto interval = std::chrono::milliseconds(400);
     constexpr auto answerTimeout = std::chrono::milliseconds(400); ///< A node answers a ping within milliseconds.
     constexpr auto recentAnswer = std::chrono::milliseconds(1500);
+    constexpr auto recentLoad = std::chrono::milliseconds(1000);
     constexpr auto forgetAfter = std::chrono::seconds(10); ///< Far longer than a restart or a short cut.
     constexpr std::size_t mostWatchers = 2; ///< Nodes of a service that watch the others.
     constexpr std::size_t answerLimitBytes = 1024;
@@ -41,11 +42,13 @@
     const auto now = boot_clock::now();
     for (const auto& node : m_directory.silentSince(now - forgetAfter))
         m_hooks.onLost(node);
-    if (!isWatcher(now))
+    const bool needsLoads = m_hooks.needsLoads();
+    if (!needsLoads && !isWatcher(now))
         return;
     for (const auto& [node, peer] : m_directory.peers()) {
         const bool isWatched = node != m_settings.node && peer.member.service == m_settings.service;
-        if (isWatched && !m_directory.hasAnsweredSince(node, now - interval))
+        const bool isLoadOld = needsLoads && peer.loadAt < now - recentLoad;
+        if (isWatched && (isLoadOld || !m_directory.hasAnsweredSince(node, now - interval)))
             ping(node);
     }
 }
@@ -75,7 +78,8 @@
                 return m_directory.failed(node, now);
             if (answer.value().head.status == statusOtherNode)
                 return m_hooks.onReplaced(node);
-            m_directory.answered(node, std::nullopt, now);
+            const auto decoded = decodeAnswer(answer.value());
+            m_directory.answered(node, decoded.has_value() ? std::optional(decoded.value().load) : std::nullopt, now);
         });
 }
 
--- a/src/mesh/internal/peer_watch.h
+++ b/src/mesh/internal/peer_watch.h
@@ -12,6 +12,8 @@
     std::function<void(const instance_id&)> onReplaced;
     /// The node has not answered for a long time.
     std::function<void(const instance_id&)> onLost;
+    /// Whether the loads of the service's other nodes matter now.
+    std::function<bool()> needsLoads;
 };
 
 /// Asks other nodes whether they are there: those of the own service regularly, so that the keys of a lost one are
--- a/src/mesh/internal/range_replicas.cpp
+++ b/src/mesh/internal/range_replicas.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr auto fetchTimeout = std::chrono::milliseconds(300); ///< A slower node is not worth waiting for.
+    constexpr auto refreshInterval = std::chrono::milliseconds(200); ///< Bounds the questions while keys have no owner.
     constexpr std::size_t answerLimitBytes = 4u << 20;
 
 } // namespace
@@ -40,12 +41,20 @@
     const auto found = m_known.find(service);
     if (found != m_known.end())
         return &found->second.map;
-    const auto available = m_directory.available(service, now);
-    if (!available.empty())
-        fetchFrom(service, available.front()->member.node);
+    refresh(service, now);
     return nullptr;
 }
 
+void range_replicas::refresh(const std::string& service, time_point now)
+{
+    auto& mayRefreshAt = m_mayRefreshAt[service];
+    const auto available = m_directory.available(service, now);
+    if (available.empty() || now < mayRefreshAt)
+        return;
+    mayRefreshAt = now + refreshInterval;
+    fetchFrom(service, available[m_nextNode++ % available.size()]->member.node);
+}
+
 void range_replicas::notice(const std::string& service, const instance_id& node, row_version version)
 {
     const auto found = m_known.find(service);
--- a/src/mesh/internal/range_replicas.h
+++ b/src/mesh/internal/range_replicas.h
@@ -26,6 +26,8 @@
 
     /// Null if none is known yet; one is asked for then.
     const range_map* find(const std::string& service, time_point now);
+    /// The known map names no owner that answers: a newer one is asked for, from one node after the other.
+    void refresh(const std::string& service, time_point now);
     /// A node of the service knows a map of this version.
     void notice(const std::string& service, const instance_id& node, row_version);
 
@@ -36,6 +38,8 @@
 
     mesh_directory& m_directory;
     std::map<std::string, versioned_ranges> m_known;
+    std::map<std::string, time_point> m_mayRefreshAt;
+    std::size_t m_nextNode = 0;
     std::set<std::string> m_fetching; ///< Services whose map is on its way.
 };
 
--- a/src/ranges/internal/range_map.cpp
+++ b/src/ranges/internal/range_map.cpp
@@ -160,6 +160,16 @@
     return range_map(std::move(ranges));
 }
 
+range_map range_map::withSilence(std::int64_t silenceMs) const
+{
+    auto ranges = m_ranges;
+    for (auto& range : ranges) {
+        if (!range.releasing.empty() && range.silenceMs == 0)
+            range.silenceMs = silenceMs;
+    }
+    return range_map(std::move(ranges));
+}
+
 std::string range_map::toJson() const
 {
     json list = json::array();
--- a/src/ranges/range_map.h
+++ b/src/ranges/range_map.h
@@ -65,6 +65,9 @@
     /// The life has ended, so that it holds nothing; its keys go to the successor. An empty one leaves them unowned.
     range_map replace(const life_name& ended, const life_name& successor, fencing_token) const;
 
+    /// Moves for which no silence was decided get this one, so that an owner lost in the middle of a move is outwaited.
+    range_map withSilence(std::int64_t silenceMs) const;
+
     std::string toJson() const;
     static result<range_map> fromJson(std::string_view);
 
--- a/src/ranges/tests/range_map_test.cpp
+++ b/src/ranges/tests/range_map_test.cpp
@@ -70,6 +70,18 @@
         EXPECT_FALSE(map.find(15).releasing.empty());
     }
 
+    // Guards against keys that stay unserved for ever: their owner was lost in the middle of a planned move, for which
+    // no silence had been decided (mondego-mesh trouble-3).
+    TEST(RangeMap, EveryMoveHasASilenceUntilItIsReleased)
+    {
+        const auto map = range_map().assign({ 0, lastKey }, "a", 1).assign({ 10, 20 }, "b", 2).withSilence(3000);
+        EXPECT_EQ(map.find(15).silenceMs, 3000);
+        EXPECT_EQ(map.find(5).silenceMs, 0);
+        EXPECT_EQ(map.withSilence(9000), map);
+        EXPECT_EQ(map.release("a", { 10, 20 }, "").find(15).silenceMs, 0);
+        EXPECT_EQ(map.replace("a", "c", 3).find(15).silenceMs, 0);
+    }
+
     // Guards against a malformed row of another writer that is taken for a map.
     TEST(RangeMap, MalformedTextIsRejected)
     {
