Keep the keys of an earlier life for its successor until the first heartbeat has told it

Also: a failure of the only owner of a key is not repeated, and a backend server's own failure is delivered instead of one of ours.

--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -81,11 +81,12 @@
     answerHeld();
     adopt(announcement);
     m_onChanged();
+    // The life counts also before the configuration tells that the service is partitioned.
+    m_ownership.report(announcement);
     if (!m_isPartitioned())
         return exchange->respond(m_port.encodeGrant({}));
     m_held = std::move(exchange);
     m_heldSince = now;
-    m_ownership.report(announcement);
     if (m_ownership.awaitsGrant())
         m_answerHeld.startOnce(mostAnswerDelay);
     else
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -201,9 +201,12 @@
     m_mayHaveRun = m_mayHaveRun || answer.outcome != verdict::not_run;
     if (node == m_context.settings.node)
         m_context.directory.answered(node, answer.load, now);
-    const bool isAnswer = answer.outcome == verdict::ran && !(isServerFailure(answer) && m_request.isIdempotent);
-    if (isAnswer)
+    // A failure of the only server that owns the key comes again; any other one may be the server's own.
+    const bool mayHelp = isServerFailure(answer) && m_request.isIdempotent && !m_request.key;
+    if (answer.outcome == verdict::ran && !mayHelp)
         return respond(std::move(answer.response));
+    if (answer.outcome == verdict::ran)
+        m_serverFailure = answer;
     const bool isRepeated = mayRepeat(answer, now);
     m_lastAnswer = std::move(answer);
     m_tried.push_back(node);
@@ -223,8 +226,8 @@
 
 void entry_call::fail(const gate_answer& answer)
 {
-    if (answer.outcome == verdict::ran)
-        return respond(answer.response);
+    if (m_serverFailure)
+        return respond(std::move(m_serverFailure->response));
     if (!m_mayHaveRun)
         return refuse(answer.retryAfter);
     const bool isLate = answer.reason == error_code::deadline_exceeded;
--- a/src/mesh/internal/entry_call.h
+++ b/src/mesh/internal/entry_call.h
@@ -49,6 +49,7 @@
     std::string m_trail; ///< Ended attempts for the log: node, result and milliseconds of each.
     time_point m_receivedAt;
     std::optional<gate_answer> m_lastAnswer;
+    std::optional<gate_answer> m_serverFailure; ///< A backend server's own answer, unless a repetition does better.
     timer m_retry;
     bool m_mayHaveRun = false; ///< An attempt ended without proof that the request did not run.
     bool m_isDone = false;
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -334,7 +334,7 @@
     if (m_strayedSince == time_point::max())
         m_strayedSince = now;
     // Owners alone decide at first: a holder that is cut off from the store asks them, and only them, for promises.
-    const bool isOwner = m_map.hasOwner(m_keeper.life());
+    const bool isOwner = m_map.hasOwner(m_keeper.life()) || !m_map.hasOwners();
     const auto rank = std::count_if(candidates.begin(), self,
         [&](const auto& candidate) { return m_version == 0 || !isOwner || m_map.hasOwner(candidate.range.life); });
     time_point due = m_strayedSince + rank * coordinatorStep;
@@ -381,6 +381,8 @@
     range_map next = m_map;
     const auto& life = m_keeper.life();
     for (const auto& ended : m_ended) {
+        if (ended == m_previousLife && life.empty())
+            continue;
         // Only a later life of the same backend server takes the keys over as they are.
         const bool hasSuccessor = !life.empty() && life != ended && !m_isDraining && ended == m_previousLife;
         next = next.replace(ended, hasSuccessor ? life : life_name(), m_version + 1);
--- a/src/ranges/internal/range_map.cpp
+++ b/src/ranges/internal/range_map.cpp
@@ -107,6 +107,11 @@
     return std::ranges::any_of(m_ranges, [&](const auto& range) { return range.owner == life; });
 }
 
+bool range_map::hasOwners() const
+{
+    return std::ranges::any_of(m_ranges, [](const auto& range) { return !range.owner.empty(); });
+}
+
 std::uint32_t range_map::keyCount(const life_name& life) const
 {
     std::uint32_t count = 0;
