--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -6,7 +6,7 @@
 
 namespace heatherdrift {
 
-/// Exit codes of heatherdriftctl; docs/operations.md lists them.
+/// Exit codes of heatherdriftctl; docs/OPERATIONS.md lists them.
 enum class exit_code {
     done = 0,
     failed = 1, ///< Refused or failed; for a request also an answer with an error status.
