--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -26,7 +26,8 @@
 
         void cancel() override
         {
-            m_handlers = {};
+            // A handler that is running must not be destroyed, so the handlers stay until the call has ended.
+            m_isCancelled = true;
             endLater(mayHaveRun(error_code::cancelled, "cancelled"));
         }
         void pause() override
@@ -96,6 +97,7 @@
         std::unique_ptr<client_connection> m_connection;
         bool m_hasWritten = false;
         bool m_isEnding = false;
+        bool m_isCancelled = false;
         result<void> m_outcome = outcome::success();
     };
 
@@ -216,7 +218,7 @@
         m_deadline.stop();
         if (auto* owner = std::exchange(m_owner, nullptr))
             owner->giveBack(*this, std::move(m_connection), how.has_value());
-        if (handlers.onDone)
+        if (handlers.onDone && !m_isCancelled)
             handlers.onDone(how);
     }
 
--- a/src/mesh/internal/entry_service.cpp
+++ b/src/mesh/internal/entry_service.cpp
@@ -10,6 +10,8 @@
     constexpr int statusBadRequest = 400;
     constexpr int statusUnavailable = 503;
     constexpr auto retryAfterStart = std::chrono::milliseconds(300); ///< A configuration is read within this time.
+    constexpr auto retryAfterStop
+        = std::chrono::milliseconds(100); ///< Another node takes the caller's next connection.
     constexpr auto defaultTimeout = std::chrono::seconds(60); ///< Of requests without a deadline.
     /// The answer needs this time to reach a caller that stops to wait at its deadline.
     constexpr auto answerMargin = std::chrono::milliseconds(8);
@@ -48,15 +50,19 @@
     return m_budgets.try_emplace(service, boot_clock::now(), settings).first->second;
 }
 
+void entry_service::refuse(const http_exchange_ptr& exchange, duration retryAfter)
+{
+    http_response response { { statusUnavailable, {} }, "" };
+    m_context.port.addRetryAfter(response.head, retryAfter);
+    exchange->respond(std::move(response));
+}
+
 void entry_service::handle(http_exchange_ptr exchange)
 {
     const auto now = boot_clock::now();
     const auto& message = exchange->request();
-    if (m_context.routes.version() == 0) {
-        http_response response { { statusUnavailable, {} }, "" };
-        m_context.port.addRetryAfter(response.head, retryAfterStart);
-        return exchange->respond(std::move(response));
-    }
+    if (m_context.routes.version() == 0)
+        return refuse(exchange, retryAfterStart);
     const auto decoded = m_context.port.decodeRequest(message);
     if (decoded.has_error())
         return exchange->respond({ { statusBadRequest, {} }, "" });
@@ -75,6 +81,8 @@
     request.deadline = now + callerTimeout - answerMargin;
     if (route->timeout > duration::zero())
         request.deadline = std::min(request.deadline, now + route->timeout);
+    if (request.deadline > m_endsAt)
+        return refuse(exchange, retryAfterStop);
     request.objective = route->latencyObjective > duration::zero() ? now + route->latencyObjective : request.deadline;
     request.priority = route->priority;
     request.isIdempotent = route->isIdempotent;
--- a/src/mesh/internal/entry_service.h
+++ b/src/mesh/internal/entry_service.h
@@ -39,6 +39,8 @@
     ~entry_service();
 
     void handle(http_exchange_ptr);
+    /// The process ends then: requests that may take longer are refused.
+    void endAt(time_point at) { m_endsAt = at; }
     std::size_t inProgress() const { return m_calls.size(); }
 
 private:
@@ -46,7 +48,10 @@
 
     retry_budget& budget(const std::string& service);
 
+    void refuse(const http_exchange_ptr&, duration retryAfter);
+
     entry_context m_context;
+    time_point m_endsAt = time_point::max();
     std::map<std::string, retry_budget> m_budgets;
     std::set<std::shared_ptr<class entry_call>> m_calls;
 };
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -135,6 +135,7 @@
             m_closesGateAt = now + leastStopTime;
             m_endsAt = now + m_settings.stopTime - stopMargin;
             m_entryServer->closeAfterAnswers();
+            m_entry.endAt(m_endsAt);
             m_stopPoll.startRepeating(stopPollInterval);
         }
 
--- a/src/mesh/tests/ownership_history_test.cpp
+++ b/src/mesh/tests/ownership_history_test.cpp
@@ -9,8 +9,8 @@
 
     using std::chrono::milliseconds;
 
-    /// Versioned store in memory. Calls are answered by step(); they may be lost before or after they take effect, and a
-    /// lost write may take effect late.
+    /// Versioned store in memory. Calls are answered by step(); they may be lost before or after they take effect, and
+    /// a lost write may take effect late.
     class history_store : public watched_store {
     public:
         struct pending_write {
@@ -19,8 +19,7 @@
         };
 
         void read(std::string, time_point, std::function<void(result<row_snapshot>)>) override { }
-        void watch(
-            std::string, row_version, duration, time_point, std::function<void(result<row_snapshot>)>) override
+        void watch(std::string, row_version, duration, time_point, std::function<void(result<row_snapshot>)>) override
         {
         }
         void write(conditional_write write, time_point, std::function<void(result<write_outcome>)> done) override
