--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -141,11 +141,11 @@
     return peer && peer->answeredAt >= since;
 }
 
-std::vector<instance_id> mesh_directory::silentSince(time_point since) const
+std::vector<instance_id> mesh_directory::silentSince(time_point since, int leastFailures) const
 {
     std::vector<instance_id> out;
     for (const auto& [node, peer] : m_peers) {
-        if (peer.failingSince < since)
+        if (peer.failingSince < since && peer.failures >= leastFailures)
             out.push_back(node);
     }
     return out;
@@ -167,6 +167,7 @@
     auto& peer = found->second;
     peer.answeredAt = now;
     peer.failingSince = time_point::max();
+    peer.failures = 0;
     if (!load)
         return;
     peer.load = *load;
@@ -178,7 +179,10 @@
 void mesh_directory::failed(const instance_id& node, time_point now)
 {
     const auto found = m_peers.find(node);
-    if (found != m_peers.end() && found->second.failingSince == time_point::max())
+    if (found == m_peers.end())
+        return;
+    ++found->second.failures;
+    if (found->second.failingSince == time_point::max())
         found->second.failingSince = now;
 }
 
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -20,6 +20,7 @@
     time_point loadAt = time_point::min();
     time_point answeredAt = time_point::min(); ///< Last answer of the node to anything.
     time_point failingSince = time_point::max(); ///< First failure since the last answer.
+    int failures = 0; ///< Since the last answer.
 };
 
 /// The nodes of the mesh: who they are, how to reach them, and how they answered.
@@ -42,8 +43,8 @@
     bool isUnreachable(const mesh_peer&, time_point now) const;
 
     bool hasAnsweredSince(const instance_id&, time_point) const;
-    /// Nodes that have failed since then without any answer.
-    std::vector<instance_id> silentSince(time_point) const;
+    /// Nodes that have failed since then without any answer, at least this often.
+    std::vector<instance_id> silentSince(time_point, int leastFailures) const;
 
     http_client& client(const instance_id&);
     /// How backend servers of a service that hold no keys are picked.
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -22,7 +22,7 @@
     constexpr const char* memberTable = "heatherdrift-members"; ///< Keys are instances.
     constexpr const char* rangeTable = "heatherdrift-ranges"; ///< Keys are services.
     /// Gates tell with their answers that they take no more, so that members may be learned a little late.
-    constexpr auto memberBatchTime = std::chrono::milliseconds(300);
+    constexpr auto memberBatchTime = std::chrono::milliseconds(600);
     /// Nodes that a change concerns are sent it, and each owner checks the map every second.
     constexpr auto rangeBatchTime = std::chrono::milliseconds(1500);
     constexpr auto memberWriteTimeout = std::chrono::milliseconds(1500);
--- a/src/mesh/internal/peer_watch.cpp
+++ b/src/mesh/internal/peer_watch.cpp
@@ -9,6 +9,7 @@
     constexpr auto recentAnswer = std::chrono::milliseconds(1500);
     constexpr auto recentLoad = std::chrono::milliseconds(1000);
     constexpr auto forgetAfter = std::chrono::seconds(10); ///< Far longer than a restart or a short cut.
+    constexpr int leastFailures = 5; ///< In a row, before the row of a node is removed.
     constexpr std::size_t mostWatchers = 2; ///< Nodes of a service that watch the others.
     constexpr std::size_t answerLimitBytes = 1024;
 
@@ -40,7 +41,10 @@
 void peer_watch::tick()
 {
     const auto now = boot_clock::now();
-    for (const auto& node : m_directory.silentSince(now - forgetAfter))
+    // One old failure says little: a node that failed is asked again before it counts as lost.
+    for (const auto& node : m_directory.silentSince(now - interval, 1))
+        probe(node);
+    for (const auto& node : m_directory.silentSince(now - forgetAfter, leastFailures))
         m_hooks.onLost(node);
     const bool needsLoads = m_hooks.needsLoads();
     if (!needsLoads && !isWatcher(now))
