--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -73,11 +73,19 @@
     }
     const auto decoded = m_port.decodeAnnouncement(request);
     if (decoded.has_error() || decoded.value().service != m_settings.service
-        || decoded.value().address != m_settings.backend)
+        || decoded.value().address != m_settings.backend) {
+        logEvent(log_event::announcement_rejected,
+            { { "target", request.target },
+                { "reason", decoded.has_error() ? decoded.error().message : "another service or address" } });
         return exchange->respond({ { statusBadRequest, {} }, "" });
+    }
     const auto& announcement = decoded.value();
-    if (isOlder(announcement))
+    if (isOlder(announcement)) {
+        logEvent(log_event::announcement_outdated,
+            { { "backend_server", announcement.id }, { "sequence", std::to_string(announcement.sequence) },
+                { "taken", std::to_string(m_current->sequence) } });
         return exchange->respond(m_port.encodeGrant({}));
+    }
     answerHeld();
     adopt(announcement);
     m_onChanged();
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -1,6 +1,7 @@
 #include "mesh/internal/mesh_directory.h"
 
 #include "base/hash.h"
+#include "telemetry/log_event.h"
 
 #include <algorithm>
 
@@ -55,7 +56,8 @@
 {
     auto& view = m_views[service];
     if (!view)
-        view = std::make_unique<load_view>(seededRandom(hashBytes(m_settings.node + service)), viewSettings(m_settings.zone));
+        view = std::make_unique<load_view>(
+            seededRandom(hashBytes(m_settings.node + service)), viewSettings(m_settings.zone));
     return *view;
 }
 
@@ -168,6 +170,8 @@
     peer.answeredAt = now;
     peer.failingSince = time_point::max();
     peer.failures = 0;
+    if (std::exchange(peer.isLogged, false))
+        logEvent(log_event::peer_regained, { { "node", node } });
     if (!load)
         return;
     peer.load = *load;
@@ -184,6 +188,11 @@
     ++found->second.failures;
     if (found->second.failingSince == time_point::max())
         found->second.failingSince = now;
+    if (isUnreachable(found->second, now) && !std::exchange(found->second.isLogged, true)) {
+        logEvent(log_event::peer_lost,
+            { { "node", node }, { "failures", std::to_string(found->second.failures) },
+                { "address", toString(found->second.member.address) } });
+    }
 }
 
 } // namespace heatherdrift
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -21,6 +21,7 @@
     time_point answeredAt = time_point::min(); ///< Last answer of the node to anything.
     time_point failingSince = time_point::max(); ///< First failure since the last answer.
     int failures = 0; ///< Since the last answer.
+    bool isLogged = false; ///< The log says that it does not answer.
 };
 
 /// The nodes of the mesh: who they are, how to reach them, and how they answered.
--- a/src/mesh/internal/mesh_metrics.cpp
+++ b/src/mesh/internal/mesh_metrics.cpp
@@ -28,7 +28,8 @@
             { { "service", service }, { "outcome", std::string(outcome) } })
         .Increment();
     m_registry
-        .latency("heatherdrift_request_seconds", "Time from a caller's request to its answer.", { { "service", service } })
+        .latency(
+            "heatherdrift_request_seconds", "Time from a caller's request to its answer.", { { "service", service } })
         .Observe(seconds(latency));
 }
 
@@ -47,7 +48,8 @@
             { { "kind", std::string(kind) }, { "answered", isAnswered ? "yes" : "no" } })
         .Increment();
     if (kind != "watch") // A watch waits for changes.
-        m_registry.latency("heatherdrift_store_seconds", "Time of a call to the store.", { { "kind", std::string(kind) } })
+        m_registry
+            .latency("heatherdrift_store_seconds", "Time of a call to the store.", { { "kind", std::string(kind) } })
             .Observe(seconds(latency));
 }
 
@@ -88,8 +90,7 @@
     };
 }
 
-void counting_store::read(
-    std::string table, time_point deadline, std::function<void(result<row_snapshot>)> done)
+void counting_store::read(std::string table, time_point deadline, std::function<void(result<row_snapshot>)> done)
 {
     m_store->read(std::move(table), deadline, counted("read", std::move(done)));
 }
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -148,6 +148,16 @@
             m_stopPoll.startRepeating(stopPollInterval);
         }
 
+        void reload(const mesh_settings& settings) override
+        {
+            m_settings.drainTime = settings.drainTime;
+            m_settings.stopTime = settings.stopTime;
+            m_settings.longestHold = settings.longestHold;
+            m_settings.heartbeatInterval = settings.heartbeatInterval;
+            m_settings.retryShare = settings.retryShare;
+            logEvent(log_event::settings_reloaded, { { "instance", settings.node } });
+        }
+
     private:
         bool isPartitioned() const
         {
@@ -220,6 +230,10 @@
             if (const auto* other = m_directory.findAddress(member.value().address);
                 other && other->member.node != node && row.version > other->rowVersion)
                 nodeReplaced(instance_id(other->member.node));
+            logEvent(log_event::member_changed,
+                { { "node", node }, { "life", member.value().life },
+                    { "draining", member.value().isDraining ? "yes" : "no" },
+                    { "row_version", std::to_string(row.version) } });
             m_directory.update(member.value(), boot_clock::now());
             m_directory.setRowVersion(node, row.version);
         }
@@ -353,11 +367,12 @@
             if (request.has_error())
                 return exchange->respond({ { 400, {} }, "" });
             const auto isDone = std::make_shared<bool>(false);
-            const auto id = m_gate.execute(std::move(request).value(), [this, exchange, isDone](const gate_answer& answer) {
-                *isDone = true;
-                m_metrics.gateEnded(answer.outcome, answer.outcome == verdict::ran ? "" : toString(answer.reason));
-                exchange->respond(encodeAnswer(answer));
-            });
+            const auto id = m_gate.execute(
+                std::move(request).value(), [this, exchange, isDone](const gate_answer& answer) {
+                    *isDone = true;
+                    m_metrics.gateEnded(answer.outcome, answer.outcome == verdict::ran ? "" : toString(answer.reason));
+                    exchange->respond(encodeAnswer(answer));
+                });
             if (!*isDone)
                 exchange->onClosed([this, id] { m_gate.cancel(id); });
         }
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -81,6 +81,21 @@
 
 void ownership::tableRead() { m_isTableRead = true; }
 
+void ownership::logGrant(const hold_grant& grant, std::size_t before, time_point receivedAt) const
+{
+    const auto milliseconds = [](duration value) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+    };
+    const bool isUnusual = grant.isValid ? grant.ranges.size() != before : m_map.hasOwner(m_keeper.life());
+    if (!isUnusual)
+        return;
+    logEvent(grant.isValid ? log_event::holds_renewed : log_event::holds_not_renewed,
+        { { "life", m_keeper.life() }, { "ranges", std::to_string(grant.ranges.size()) },
+            { "ranges_before", std::to_string(before) }, { "hold_ms", milliseconds(grant.hold) },
+            { "map_version", std::to_string(m_version) },
+            { "map_confirmed_ms_ago", milliseconds(receivedAt - m_keeper.confirmedAt()) } });
+}
+
 void ownership::logMap(const range_map& map, row_version version, bool isOwnCall) const
 {
     std::size_t releasing = 0;
@@ -165,7 +180,9 @@
 
 hold_grant ownership::grant(time_point receivedAt)
 {
+    const auto before = m_keeper.grantedCount();
     const auto grant = m_keeper.grant(receivedAt);
+    logGrant(grant, before, receivedAt);
     m_hooks.onChanged();
     return grant;
 }
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -100,6 +100,7 @@
     map_statement promise(const life_name& holder);
     bool isPromised(const life_name& holder, time_point now) const;
     void failed(const failure&);
+    void logGrant(const hold_grant&, std::size_t before, time_point receivedAt) const;
     void logMap(const range_map&, row_version, bool isOwnCall) const;
     void handleConflict(const write_outcome&, time_point sentAt);
     bool isGrantNear(const owned_range&) const;
--- a/src/mesh/mesh_node.h
+++ b/src/mesh/mesh_node.h
@@ -20,6 +20,8 @@
 
     /// Runs until a stop has finished.
     virtual void run() = 0;
+    /// Applies changed times and shares; addresses and names stay until a restart.
+    virtual void reload(const mesh_settings&) = 0;
     /// Takes no new callers, finishes what is in progress, then ends run().
     virtual void stop() = 0;
 };
--- a/src/mesh/tests/request_path_test.cpp
+++ b/src/mesh/tests/request_path_test.cpp
@@ -62,7 +62,7 @@
             directory->update(self, boot_clock::now());
             map = range_map().assign({ 0, lastKey }, "i@1", 1);
             entry = std::make_unique<entry_service>(
-                entry_context { loop.base(), settings, port, routes, *directory, *gate,
+                entry_context { loop.base(), settings, port, routes, *directory, *gate, &metrics,
                     [this](const std::string&) { return &map; }, [](const std::string&) {}, [](const instance_id&) {},
                     [](const instance_id&) {}, [](const std::string&, const instance_id&, row_version) {} });
             server = loop.listen([this](http_exchange_ptr exchange) { entry->handle(std::move(exchange)); });
@@ -96,6 +96,7 @@
         test_loop loop;
         mesh_settings settings;
         platform_port port = makeTestPort();
+        mesh_metrics metrics;
         route_table routes;
         range_map map;
         key_access access = key_access::serve;
--- a/src/ranges/hold_keeper.h
+++ b/src/ranges/hold_keeper.h
@@ -87,7 +87,7 @@
     /// The backend server said that it does not hold the key.
     void distrustGrants() { m_granted.clear(); }
     time_point holdEnd() const { return m_holdEnd; }
-    bool hasGrants() const { return !m_granted.empty(); }
+    std::size_t grantedCount() const { return m_granted.size(); }
 
 private:
     time_point latestHoldEnd() const;
