--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -1,5 +1,7 @@
 #include "mesh/internal/gate_service.h"
 
+#include "telemetry/log_event.h"
+
 namespace heatherdrift {
 
 namespace {
@@ -153,6 +155,15 @@
     const bool isUsual = judged.outcome == verdict::ran && isSuccess(judged.response.head.status);
     m_queue.finish(id, isUsual ? std::optional(now - found->second.startedAt) : std::nullopt);
     judged.load = load();
+    if (judged.outcome == verdict::may_have_run) {
+        logEvent(log_event::request_lost,
+            { { "request", found->second.request.id }, { "reason", std::string(toString(judged.reason)) },
+                { "backend_server", m_backend.id }, { "route", found->second.request.route },
+                { "ran_ms",
+                    std::to_string(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.startedAt).count()) },
+                { "running", std::to_string(m_queue.running()) }, { "waiting", std::to_string(m_queue.waiting()) } });
+    }
     answer(id, std::move(judged));
     runNext();
 }
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -92,6 +92,8 @@
         { log_event::request_failed, "request_failed", log_level::warning,
             "A caller got a failure made by this node." },
         { log_event::request_abandoned, "request_abandoned", log_level::info, "A caller left before its answer." },
+        { log_event::request_lost, "request_lost", log_level::warning,
+            "A backend server got a request, and its answer was lost or late at the gate." },
     };
 
     const log_event_definition& definitionOf(log_event event)
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -44,6 +44,7 @@
     request_refused = 1911,
     request_failed = 1912,
     request_abandoned = 1913,
+    request_lost = 1914,
     range_map_changed = 1451,
     range_map_write_failed = 1452,
     holds_renewed = 1453,
