--- a/src/mesh/tests/ownership_history_test.cpp
+++ b/src/mesh/tests/ownership_history_test.cpp
@@ -163,7 +163,7 @@
                     if (other.backend.life != life || !reaches(node, other))
                         continue;
                     other.keys->confirmFor(node.keys->life(), version,
-                        [this, &node, &other, promised, version, count = owners.size(), askedAt = m_now](
+                        [&node, &other, promised, version, count = owners.size(), askedAt = m_now](
                             map_statement statement) {
                             if (node.keys->version() != version)
                                 return;
