--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "http/internal/server_connection.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <event2/listener.h>
 #include <event2/util.h>
@@ -66,6 +67,11 @@
             for (const auto& [key, connection] : connections)
                 connection->closeIfIdle();
         }
+        bool hasUnsentAnswers() const override
+        {
+            return std::ranges::any_of(
+                m_connections, [](const auto& entry) { return entry.second->hasUnsentAnswers(); });
+        }
         std::size_t connectionCount() const override { return m_connections.size(); }
 
     private:
--- a/src/http/internal/server_connection.h
+++ b/src/http/internal/server_connection.h
@@ -35,6 +35,7 @@
     /// Closes if no request has arrived that is not answered.
     void closeIfIdle();
 
+    bool hasUnsentAnswers() const { return !m_exchanges.empty() || bufferedBytes() > 0; }
     std::size_t bufferedBytes() const;
     /// An exchange has something to write, is complete or was aborted.
     void exchangeChanged();
--- a/src/http/tests/http_contract_test.cpp
+++ b/src/http/tests/http_contract_test.cpp
@@ -267,6 +267,33 @@
         EXPECT_NE(client.received.find("two"), std::string::npos);
     }
 
+    // Guards against a process that ends while an answer lies in its own buffers (iarc-mesh trouble-1, seed
+    // 120490482526).
+    TEST_F(HttpContractTest, AnswerIsUnsentUntilTheKernelHasIt)
+    {
+        http_exchange_ptr held;
+        auto server = listen({}, [&](http_exchange_ptr exchange) { held = std::move(exchange); });
+        const auto client = http_client::create(loop.base(), server->address(), 1);
+        EXPECT_FALSE(server->hasUnsentAnswers());
+        std::size_t received = 0;
+        bool isDone = false;
+        http_call_handlers handlers;
+        handlers.onData = [&](std::string_view data) { received += data.size(); };
+        handlers.onDone = [&](const result<void>&) { isDone = true; };
+        const auto call = client->start({}, test_loop::farDeadline(), handlers);
+        loop.runUntil([&] { return held != nullptr; });
+        EXPECT_TRUE(server->hasUnsentAnswers());
+        constexpr std::size_t size = 64u << 20; // More than the kernel's buffers hold.
+        call->pause();
+        held->respond({ { 200, {} }, std::string(size, 'x') });
+        loop.runReady();
+        EXPECT_TRUE(server->hasUnsentAnswers());
+        call->resume();
+        loop.runUntil([&] { return isDone; });
+        EXPECT_EQ(received, size);
+        EXPECT_FALSE(server->hasUnsentAnswers());
+    }
+
     result<http_response> fetchFrom(test_loop& loop, http_client& client, const std::string& id)
     {
         std::optional<result<http_response>> answer;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -395,11 +395,11 @@
             if (now < m_closesGateAt)
                 return;
             m_gate.stopAccepting();
-            if (m_gate.inProgress() > 0)
+            if (m_gate.inProgress() > 0 || m_forwardServer->hasUnsentAnswers())
                 return;
             m_entryServer->stopListening();
             m_entryServer->closeIdle();
-            if (m_entry.inProgress() == 0)
+            if (m_entry.inProgress() == 0 && !m_entryServer->hasUnsentAnswers() && !m_forwardServer->hasUnsentAnswers())
                 event_base_loopbreak(m_base);
         }
 
