--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -20,6 +20,8 @@
     virtual const http_request& request() const = 0;
     /// Whether this is the first request on its connection.
     virtual bool isFirstOnConnection() const = 0;
+    /// Whether the client has the address of the listener itself, so that it runs on the same host.
+    virtual bool isFromOwnHost() const = 0;
     /// False once the client is gone or the answer is complete; sending is then without effect.
     virtual bool isOpen() const = 0;
 
--- a/src/http/internal/server_connection.cpp
+++ b/src/http/internal/server_connection.cpp
@@ -24,6 +24,7 @@
 server_connection::server_connection(std::shared_ptr<server_context> context, int descriptor)
     : m_context(std::move(context))
     , m_stream(bufferevent_socket_new(m_context->base, descriptor, BEV_OPT_CLOSE_ON_FREE))
+    , m_isFromOwnHost(localAddress(descriptor).ip == remoteAddress(descriptor).ip)
     , m_parser(message_parser::side::requests, m_context->limits.headerBytes,
           { [this] { return acceptHead(); },
               [this](std::string_view part) {
--- a/src/http/internal/server_connection.h
+++ b/src/http/internal/server_connection.h
@@ -37,6 +37,7 @@
 
     bool hasUnsentAnswers() const { return !m_exchanges.empty() || bufferedBytes() > 0; }
     std::size_t bufferedBytes() const;
+    bool isFromOwnHost() const { return m_isFromOwnHost; }
     /// An exchange has something to write, is complete or was aborted.
     void exchangeChanged();
 
@@ -57,6 +58,7 @@
 
     std::shared_ptr<server_context> m_context;
     stream_handle m_stream;
+    bool m_isFromOwnHost;
     message_parser m_parser;
     std::string m_body;
     bool m_isBodyTooLarge = false;
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -24,6 +24,7 @@
     : m_connection(std::move(connection))
     , m_request(std::move(request))
     , m_isFirst(isFirst)
+    , m_isFromOwnHost(m_connection->isFromOwnHost())
     , m_keepsAlive(keepsAlive)
 {
 }
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -15,6 +15,7 @@
 
     const http_request& request() const override { return m_request; }
     bool isFirstOnConnection() const override { return m_isFirst; }
+    bool isFromOwnHost() const override { return m_isFromOwnHost; }
     bool isOpen() const override { return m_isOpen; }
     void respond(http_response) override;
     void start(http_response_head) override;
@@ -45,6 +46,7 @@
     std::shared_ptr<server_connection> m_connection; ///< Empty once detached.
     http_request m_request;
     bool m_isFirst;
+    bool m_isFromOwnHost;
     bool m_keepsAlive;
     bool m_isOpen = true;
     bool m_hasHead = false;
--- a/src/http/internal/stream.cpp
+++ b/src/http/internal/stream.cpp
@@ -7,6 +7,26 @@
 
 namespace heatherdrift {
 
+namespace {
+
+    endpoint addressOf(int descriptor, int (*read)(int, sockaddr*, socklen_t*))
+    {
+        sockaddr_storage storage {};
+        socklen_t size = sizeof(storage);
+        read(descriptor, reinterpret_cast<sockaddr*>(&storage), &size);
+        char text[INET6_ADDRSTRLEN] {};
+        if (storage.ss_family == AF_INET6) {
+            const auto& address = reinterpret_cast<const sockaddr_in6&>(storage);
+            inet_ntop(AF_INET6, &address.sin6_addr, text, sizeof(text));
+            return { text, ntohs(address.sin6_port) };
+        }
+        const auto& address = reinterpret_cast<const sockaddr_in&>(storage);
+        inet_ntop(AF_INET, &address.sin_addr, text, sizeof(text));
+        return { text, ntohs(address.sin_port) };
+    }
+
+} // namespace
+
 void disableNagle(int descriptor)
 {
     const int on = 1;
@@ -33,21 +53,9 @@
     setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
-endpoint localAddress(int descriptor)
-{
-    sockaddr_storage storage {};
-    socklen_t size = sizeof(storage);
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&storage), &size);
-    char text[INET6_ADDRSTRLEN] {};
-    if (storage.ss_family == AF_INET6) {
-        const auto& address = reinterpret_cast<const sockaddr_in6&>(storage);
-        inet_ntop(AF_INET6, &address.sin6_addr, text, sizeof(text));
-        return { text, ntohs(address.sin6_port) };
-    }
-    const auto& address = reinterpret_cast<const sockaddr_in&>(storage);
-    inet_ntop(AF_INET, &address.sin_addr, text, sizeof(text));
-    return { text, ntohs(address.sin_port) };
-}
+endpoint localAddress(int descriptor) { return addressOf(descriptor, &getsockname); }
+
+endpoint remoteAddress(int descriptor) { return addressOf(descriptor, &getpeername); }
 
 std::string_view firstPiece(evbuffer* buffer)
 {
--- a/src/http/internal/stream.h
+++ b/src/http/internal/stream.h
@@ -23,6 +23,8 @@
 void discardUnsent(int descriptor);
 /// Address that a socket is bound to.
 endpoint localAddress(int descriptor);
+/// Address of the other side of a connection.
+endpoint remoteAddress(int descriptor);
 /// Bytes of the buffer that lie in one piece at its start.
 std::string_view firstPiece(evbuffer*);
 
--- a/src/mesh/internal/entry_service.cpp
+++ b/src/mesh/internal/entry_service.cpp
@@ -93,6 +93,8 @@
         return refuse(exchange, retryAfterStop);
     request.objective = route->latencyObjective > duration::zero() ? now + route->latencyObjective : request.deadline;
     request.priority = route->priority;
+    // Callers have addresses of their own; only the backend server shares the one of this node.
+    request.isNested = exchange->isFromOwnHost();
     request.isIdempotent = route->isIdempotent;
     const auto* service = m_context.routes.service(request.service);
     if (service && service->isPartitioned)
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -11,6 +11,8 @@
     constexpr auto keyLoadMemory = std::chrono::milliseconds(1500); ///< Hot keys change within seconds.
     constexpr auto mostIdleTime = std::chrono::seconds(8); ///< Unless the backend server's Keep-Alive says less.
     constexpr auto retryAfterKeyMove = std::chrono::milliseconds(300); ///< A move takes about a heartbeat interval.
+    /// Below that the link is not what makes an answer late.
+    constexpr auto leastLinkWait = std::chrono::milliseconds(100);
     constexpr auto leastRetryAfter = std::chrono::milliseconds(50);
 
     http_client_options clientOptions(int connections)
@@ -77,18 +79,26 @@
     return answer;
 }
 
-request_number gate_service::execute(routed_request request, answer_function answered)
+request_number gate_service::execute(routed_request request, answer_function answered, duration deliveryTime)
 {
     const request_number id = ++m_lastNumber;
     if (m_isStopping) {
         answered(refusal(error_code::draining));
         return id;
     }
-    m_requests[id] = { std::move(request), std::move(answered), false, {}, nullptr };
+    m_requests[id] = { std::move(request), std::move(answered), false, deliveryTime, {}, nullptr };
     submit(id);
     return id;
 }
 
+duration gate_service::lateByDelivery(const gate_request& entry, time_point now) const
+{
+    if (entry.deliveryTime < leastLinkWait)
+        return {};
+    const auto end = now + m_queue.serviceTime(entry.request.route) + entry.deliveryTime;
+    return std::max(end - entry.request.objective, duration());
+}
+
 void gate_service::submit(request_number id)
 {
     auto& entry = m_requests.at(id);
@@ -100,6 +110,11 @@
         return answer(id, refusal(error_code::not_owner));
     if (now >= m_closesAt)
         return answer(id, refusal(error_code::draining));
+    if (const auto late = lateByDelivery(entry, now); late > duration()) {
+        auto refused = refusal(error_code::overloaded);
+        refused.retryAfter = std::max(refused.retryAfter, late);
+        return answer(id, std::move(refused));
+    }
     if (entry.request.key) {
         const auto access = m_hooks.keyAccess(*entry.request.key);
         if (access == key_access::refuse)
@@ -172,7 +187,7 @@
 {
     if (response.has_error()) {
         const auto& reason = response.error();
-        if (reason.code == error_code::connection_failed)
+        if (reason.code == error_code::connection_refused)
             m_hooks.onConnectionRefused();
         auto answer = refusal(reason.code);
         answer.outcome = reason.outcome;
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -43,8 +43,9 @@
     gate_service(event_base*, const mesh_settings&, const platform_port&, gate_hooks);
     ~gate_service();
 
-    /// Calls back exactly once unless the request is cancelled; possibly before it returns.
-    request_number execute(routed_request, answer_function);
+    /// Calls back exactly once unless the request is cancelled; possibly before it returns. The delivery time is what
+    /// the answer will need from here to whoever asked.
+    request_number execute(routed_request, answer_function, duration deliveryTime = {});
     /// The caller is gone: the request leaves the queue, or its connection to the backend server is closed.
     void cancel(request_number);
 
@@ -68,11 +69,14 @@
         routed_request request;
         answer_function answer;
         bool isAwaitingKey = false;
+        duration deliveryTime {};
         time_point startedAt {};
         http_call_ptr call;
     };
 
     void submit(request_number);
+    /// How much later than its objective the answer would come because of the instance's link; zero if it would not.
+    duration lateByDelivery(const gate_request&, time_point now) const;
     void run(request_number);
     void runNext();
     void finished(request_number, result<http_response>);
--- a/src/settings/internal/mesh_settings.cpp
+++ b/src/settings/internal/mesh_settings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr integer_range milliseconds { 1, 24 * 3600 * 1000 };
+    constexpr double bytesPerMegabit = 1e6 / 8;
 
     result<void> readListeners(const json& value, const std::string& path, mesh_settings& settings)
     {
@@ -41,6 +42,9 @@
     reader.readNumber("stop_s", stopSeconds, 0.1, 3600);
     settings.stopTime = std::chrono::duration_cast<duration>(std::chrono::duration<double>(stopSeconds));
     reader.readNumber("retry_share", settings.retryShare, 0, 1);
+    double linkMegabits = 0;
+    reader.readNumber("link_mbps", linkMegabits, 0, 1e6);
+    settings.linkBytesPerSecond = linkMegabits * bytesPerMegabit;
     reader.readInteger("log_lines", settings.logLines, { 1, 1000000 }, json_reader::presence::optional);
     BOOST_OUTCOME_TRY(reader.finish());
     return settings;
--- a/src/settings/mesh_settings.h
+++ b/src/settings/mesh_settings.h
@@ -23,6 +23,7 @@
     duration drainTime {}; ///< A leaving backend server gets no request later than this after its acknowledgement.
     duration stopTime {}; ///< Time between the signal to stop and the end by force.
     duration longestHold {};
+    double linkBytesPerSecond = 0; ///< Of the instance's network link; 0: not known.
     int logLines = 200; ///< Lines of one event that are written in 10 s.
     double retryShare = 0.2; ///< Retries per request that all nodes together may send to a service.
 
--- a/src/settings/tests/mesh_settings_test.cpp
+++ b/src/settings/tests/mesh_settings_test.cpp
@@ -15,7 +15,7 @@
         "listen": { "entry": "10.0.0.1:1", "forward": "10.0.0.1:2", "readiness": "10.0.0.1:3",
                     "announcements": "10.0.0.1:4", "metrics": "10.0.0.1:5" },
         "first_start": true, "heartbeat_ms": 870, "drain_ms": 2000, "longest_hold_ms": 10000, "stop_s": 6,
-        "retry_share": 0.2 })";
+        "retry_share": 0.2, "link_mbps": 16 })";
 
     TEST(MeshSettings, FieldsAreRead)
     {
@@ -27,6 +27,7 @@
         EXPECT_TRUE(out.isFirstStart);
         EXPECT_EQ(out.drainTime, std::chrono::milliseconds(2000));
         EXPECT_EQ(out.stopTime, std::chrono::seconds(6));
+        EXPECT_EQ(out.linkBytesPerSecond, 2e6);
         EXPECT_EQ(out.logLines, 200);
     }
 
