Keep a plan whose write met a conflict

The next plan came only an interval later. From second 2 to 6 nearly all of iarc's 34 owners refuse, so the load is even and too high there.

--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -63,7 +63,10 @@
                               map.keyCount(m_ownership.life()), map.ranges().size());
                       },
                       [this] { m_council.ask(); },
-                      [this](const std::set<life_name>& lives) { m_council.push(lives); } })
+                      [this](const std::set<life_name>& lives) {
+                          m_balancer.written(boot_clock::now());
+                          m_council.push(lives);
+                      } })
             , m_balancer(base, m_settings, m_directory,
                   { boot_clock::now, [this] { return candidates(); },
                       [this]() -> const key_load& { return m_gate.keyLoad(); },
--- a/src/mesh/internal/range_balancer.cpp
+++ b/src/mesh/internal/range_balancer.cpp
@@ -165,7 +165,7 @@
     return sum;
 }
 
-void range_balancer::remember(const range_map& before, const range_map& after, time_point now)
+void range_balancer::countMoves(const range_map& before, const range_map& after, time_point now)
 {
     for (auto& [life, moves] : m_moved)
         std::erase_if(moves, [&](const moved_demand& one) { return now - one.movedAt > 4 * loadMemory; });
@@ -184,10 +184,10 @@
 
 range_map range_balancer::balance(const range_map& map, fencing_token fence, time_point now)
 {
+    m_plan.reset();
     std::erase_if(m_reports, [&](const auto& entry) { return now - entry.second.receivedAt > mostReportAge; });
     if (m_reports.empty() || now < m_mayPlanAt)
         return map;
-    m_mayPlanAt = now + planInterval;
     std::vector<owner_demand> owners;
     for (const auto& candidate : m_hooks.candidates()) {
         const auto& life = candidate.range.life;
@@ -200,8 +200,18 @@
     }
     auto out = balanceLoad(map, owners, {}, fence, now);
     if (out != map)
-        remember(map, out, now);
+        m_plan = { map, out };
     return out;
 }
 
+// A plan whose write met a conflict is made again on top of the newer map.
+void range_balancer::written(time_point now)
+{
+    if (!m_plan)
+        return;
+    countMoves(m_plan->first, m_plan->second, now);
+    m_plan.reset();
+    m_mayPlanAt = now + planInterval;
+}
+
 } // namespace heatherdrift
--- a/src/mesh/internal/range_balancer.h
+++ b/src/mesh/internal/range_balancer.h
@@ -41,6 +41,8 @@
     void take(const http_exchange_ptr&);
     /// The range map with what should be moved now; the given one if that is nothing.
     range_map balance(const range_map&, fencing_token, time_point now);
+    /// The map of the last call of balance() is in the store.
+    void written(time_point now);
     /// Whether the loads of the other nodes matter to this one.
     bool needsLoads() const;
 
@@ -65,7 +67,7 @@
     /// Demand of an owner for the keys that it has in this map.
     double demandIn(const range_map&, const life_name&, const known_report&, time_point now) const;
     double arriving(const life_name&, time_point now) const;
-    void remember(const range_map& before, const range_map& after, time_point now);
+    void countMoves(const range_map& before, const range_map& after, time_point now);
 
     const mesh_settings& m_settings;
     mesh_directory& m_directory;
@@ -73,6 +75,7 @@
     std::map<life_name, known_report> m_reports;
     std::map<life_name, std::vector<moved_demand>> m_moved;
     std::map<instance_id, time_point> m_passedOverUntil; ///< Nodes that could not plan.
+    std::optional<std::pair<range_map, range_map>> m_plan; ///< Last one, before and after.
     time_point m_mayPlanAt = time_point::min();
     bool m_isReporting = false;
     timer m_tick;
