Count the objective of a repeated attempt from its caller's first one

An attempt that comes with less patience than the others of its route is a repetition; under overload it took the slots of callers that could still be served in time.

--- a/src/mesh/internal/entry_service.h
+++ b/src/mesh/internal/entry_service.h
@@ -7,6 +7,7 @@
 #include "mesh/internal/mesh_directory.h"
 #include "mesh/internal/mesh_metrics.h"
 #include "mesh/platform_port.h"
+#include "routes/attempt_age.h"
 #include "routes/route_table.h"
 #include "settings/mesh_settings.h"
 
@@ -57,6 +58,7 @@
 
     entry_context m_context;
     random_function m_random;
+    attempt_age m_ages;
     time_point m_endsAt = time_point::max();
     std::map<std::string, retry_budget> m_budgets;
     std::set<std::shared_ptr<class entry_call>> m_calls;
