Let one owner check the range map at the store for all owners

Change: owners ask the first owner in order, which passes on a check that is at most 0.5 s old together with its age; the age is subtracted from the time of the question, so that a hold is never counted from a later time. An owner asks the store itself when that answer is missing. The feed of the map is a fallback for what pushes and checks did not tell.

--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -25,8 +25,9 @@
     constexpr const char* rangeTable = "heatherdrift-ranges"; ///< Keys are services.
     /// Gates tell with their answers that they take no more, so that members may be learned a little late.
     constexpr auto memberBatchTime = std::chrono::milliseconds(600);
-    /// Nodes that a change concerns are sent it, and each owner checks the map every second.
-    constexpr auto rangeBatchTime = std::chrono::milliseconds(1500);
+    /// Nodes that a change concerns are sent it, and owners learn of others from the one that checks the map each
+    /// second.
+    constexpr auto rangeBatchTime = std::chrono::seconds(5);
     constexpr auto memberWriteTimeout = std::chrono::milliseconds(1500);
     constexpr auto memberWriteBackoff = std::chrono::milliseconds(300);
     constexpr auto recentLoad = std::chrono::seconds(2); ///< Older loads say nothing of a hot key's place.
@@ -62,7 +63,7 @@
                           m_metrics.rangeMapChanged(static_cast<std::uint64_t>(m_ownership.version()),
                               map.keyCount(m_ownership.life()), map.ranges().size());
                       },
-                      [this] { m_council.ask(); },
+                      [this] { m_council.ask(); }, [this] { return askConfirmingOwner(); },
                       [this](const std::set<life_name>& lives) {
                           m_balancer.written(boot_clock::now());
                           m_council.push(lives);
@@ -199,6 +200,20 @@
             return out;
         }
 
+        /// The first owner in order checks the range map for all of them.
+        bool askConfirmingOwner()
+        {
+            for (const auto& candidate : candidates()) {
+                if (candidate.node == m_settings.node)
+                    return false;
+                if (!m_ownership.map().hasOwner(candidate.range.life))
+                    continue;
+                m_council.askOne(candidate.node);
+                return true;
+            }
+            return false;
+        }
+
         void configurationChanged(const row_change& row)
         {
             if (row.key != m_port.configurationRow || !row.value)
--- a/src/mesh/internal/owner_council.cpp
+++ b/src/mesh/internal/owner_council.cpp
@@ -10,6 +10,7 @@
 
     constexpr const char* holderHeader = "heatherdrift-holder";
     constexpr const char* versionHeader = "heatherdrift-range-map";
+    constexpr const char* confirmedAgoHeader = "heatherdrift-confirmed-ago-us";
     constexpr const char* statementHeader = "heatherdrift-map-statement";
     constexpr auto answerTimeout = std::chrono::milliseconds(1200); ///< Covers a check that times out at the store.
     constexpr auto pushTimeout = std::chrono::milliseconds(300);
@@ -30,6 +31,15 @@
         return "unknown";
     }
 
+    /// Without the header, an answer confirms nothing.
+    duration confirmedAgo(const http_response_head& head)
+    {
+        const auto text = head.headers.find(confirmedAgoHeader).value_or("");
+        std::int64_t microseconds = 0;
+        const bool isNumber = std::from_chars(text.data(), text.data() + text.size(), microseconds).ec == std::errc();
+        return isNumber && microseconds >= 0 ? duration(microseconds) : duration(std::chrono::hours(1));
+    }
+
 } // namespace
 
 owner_council::owner_council(const mesh_settings& settings, mesh_directory& directory, ownership& ownership)
@@ -47,26 +57,38 @@
     const auto owners = m_ownership.otherOwners();
     state->asked = owners.size();
     for (const auto& life : owners) {
-        const auto* peer = m_directory.findLife(life);
-        if (!peer)
-            continue;
-        http_request request;
-        request.target = target;
-        request.headers.add(targetNodeHeader, peer->member.node);
-        request.headers.add(holderHeader, m_ownership.life());
-        request.headers.add(versionHeader, std::to_string(state->version));
-        fetch(m_directory.client(peer->member.node), std::move(request), state->askedAt + answerTimeout,
-            answerLimitBytes, [this, state](const result<http_response>& answer) { answered(state, answer); });
+        if (const auto* peer = m_directory.findLife(life))
+            send(state, peer->member.node);
     }
 }
 
+void owner_council::askOne(const instance_id& node)
+{
+    const auto state = std::make_shared<round>();
+    state->askedAt = boot_clock::now();
+    state->version = m_ownership.version();
+    state->asked = m_ownership.otherOwners().size();
+    send(state, node);
+}
+
+void owner_council::send(const std::shared_ptr<round>& state, const instance_id& node)
+{
+    http_request request;
+    request.target = target;
+    request.headers.add(targetNodeHeader, node);
+    request.headers.add(holderHeader, m_ownership.life());
+    request.headers.add(versionHeader, std::to_string(state->version));
+    fetch(m_directory.client(node), std::move(request), state->askedAt + answerTimeout, answerLimitBytes,
+        [this, state](const result<http_response>& answer) { answered(state, answer); });
+}
+
 void owner_council::answered(const std::shared_ptr<round>& state, const result<http_response>& answer)
 {
     if (answer.has_error() || state->version != m_ownership.version())
         return;
     const auto statement = answer.value().head.headers.find(statementHeader).value_or("");
     if (statement == nameOf(map_statement::current))
-        return m_ownership.confirmed(state->askedAt);
+        return m_ownership.confirmed(state->askedAt - confirmedAgo(answer.value().head));
     if (statement == nameOf(map_statement::outdated)) {
         const auto newer = parseVersionedRanges(answer.value().body);
         if (newer.has_value())
@@ -108,8 +130,10 @@
     const std::string_view text = headers.find(versionHeader).value_or("");
     row_version version = 0;
     std::from_chars(text.data(), text.data() + text.size(), version);
-    m_ownership.confirmFor(holder, version, [this, exchange](map_statement statement) {
+    m_ownership.confirmFor(holder, version, [this, exchange](map_statement statement, duration ago) {
         http_response response { { 200, { { statementHeader, nameOf(statement) } } }, "" };
+        if (statement == map_statement::current)
+            response.head.headers.add(confirmedAgoHeader, std::to_string(ago.count()));
         if (statement == map_statement::outdated)
             response.body = toJson(versioned_ranges { m_ownership.version(), m_ownership.map() });
         exchange->respond(std::move(response));
--- a/src/mesh/internal/owner_council.h
+++ b/src/mesh/internal/owner_council.h
@@ -14,6 +14,8 @@
 
     /// Asks all other owners whether the range map of this node is current.
     void ask();
+    /// Asks one owner whether the map is current.
+    void askOne(const instance_id&);
     /// Sends the range map to the nodes of the given lives.
     void push(const std::set<life_name>&);
     /// Takes a range map that another node sent.
@@ -31,6 +33,7 @@
         std::size_t promised = 0;
     };
 
+    void send(const std::shared_ptr<round>&, const instance_id&);
     void answered(const std::shared_ptr<round>&, const result<http_response>&);
 
     const mesh_settings& m_settings;
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -13,6 +13,12 @@
     /// later.
     constexpr auto leaseTime = std::chrono::milliseconds(3500);
     constexpr auto confirmInterval = std::chrono::milliseconds(1000);
+    /// A check of another owner that is not older is passed on; each call to the store costs more than a message.
+    constexpr auto recentCheck = std::chrono::milliseconds(500);
+    /// The owner that checks for all has not answered once.
+    constexpr auto ownCheckAge = confirmInterval + std::chrono::milliseconds(800);
+    /// Neither has the store. Leaves time for two rounds of promises before the lease ends.
+    constexpr auto extensionAge = confirmInterval + std::chrono::milliseconds(900);
     constexpr auto extensionInterval = std::chrono::milliseconds(300);
     /// Longer than the interval of heartbeats and that of the promises.
     constexpr auto promiseTime = std::chrono::milliseconds(1600);
@@ -232,33 +238,52 @@
     if (!isOwner)
         return;
     // A write of this node that may still take effect would make the promises of the others void.
-    if (now >= m_extensionDueAt && m_unresolvedVersion != m_version
-        && now - m_keeper.confirmedAt() > confirmInterval + extensionInterval) {
+    const auto age = now - m_keeper.confirmedAt();
+    if (now >= m_extensionDueAt && m_unresolvedVersion != m_version && age > extensionAge) {
         m_extensionDueAt = now + extensionInterval;
         m_hooks.askOtherOwners();
     }
     if (now < m_confirmDueAt)
         return;
     m_confirmDueAt = now + confirmInterval;
-    checkMap([](bool) {});
+    const bool isAsked = age < ownCheckAge && m_hooks.askConfirmingOwner();
+    if (!isAsked)
+        checkMap([](bool) {});
 }
 
 void ownership::checkMap(std::function<void(bool isCurrent)> done)
 {
+    m_awaitingCheck.push_back(std::move(done));
+    if (m_awaitingCheck.size() > 1)
+        return;
     const auto now = m_hooks.now();
     conditional_write check;
     check.checks.push_back({ m_row, m_version });
     m_store.write(check, now + confirmTimeout,
-        [this, version = m_version, now, done = std::move(done)](const result<write_outcome>& outcome) {
-            const bool isCurrent = outcome.has_value() && outcome.value().isApplied && version == m_version;
-            m_storeAnswered = outcome.has_value();
-            if (outcome.has_value() && !outcome.value().isApplied)
-                adoptCurrent(outcome.value(), now);
-            else if (isCurrent)
-                m_keeper.confirm(m_map, now);
-            done(isCurrent);
-            propose();
-        });
+        [this, version = m_version, now](const result<write_outcome>& outcome) { checked(version, now, outcome); });
+}
+
+void ownership::checked(row_version version, time_point sentAt, const result<write_outcome>& outcome)
+{
+    const auto waiting = std::exchange(m_awaitingCheck, {});
+    m_storeAnswered = outcome.has_value();
+    const bool isApplied = outcome.has_value() && outcome.value().isApplied;
+    if (isApplied)
+        noteCurrent(version, sentAt);
+    else if (outcome.has_value())
+        adoptCurrent(outcome.value(), sentAt);
+    const bool isCurrent = isApplied && version == m_version;
+    if (isCurrent)
+        m_keeper.confirm(m_map, sentAt);
+    for (const auto& done : waiting)
+        done(isCurrent);
+    propose();
+}
+
+void ownership::noteCurrent(row_version version, time_point at)
+{
+    m_checkedVersion = version;
+    m_checkedAt = at;
 }
 
 std::vector<life_name> ownership::otherOwners() const
@@ -271,7 +296,7 @@
     return { lives.begin(), lives.end() };
 }
 
-void ownership::confirmed(time_point askedAt) { m_keeper.confirm(m_map, askedAt); }
+void ownership::confirmed(time_point at) { m_keeper.confirm(m_map, at); }
 
 void ownership::promised(time_point askedAt)
 {
@@ -279,16 +304,21 @@
     m_hooks.onChanged();
 }
 
-void ownership::confirmFor(const life_name& holder, row_version version, std::function<void(map_statement)> done)
+void ownership::confirmFor(const life_name& holder, row_version version, statement_function done)
 {
     if (version != m_version)
-        return done(version < m_version ? map_statement::outdated : map_statement::unknown);
+        return done(version < m_version ? map_statement::outdated : map_statement::unknown, {});
+    const auto now = m_hooks.now();
+    if (m_checkedVersion == version && now - m_checkedAt <= recentCheck)
+        return done(map_statement::current, now - m_checkedAt);
     if (!m_storeAnswered)
-        return done(promise(holder));
+        return done(promise(holder), {});
     checkMap([this, holder, version, done = std::move(done)](bool isCurrent) {
-        if (isCurrent)
-            return done(map_statement::current);
-        done(version == m_version ? promise(holder) : map_statement::outdated);
+        if (isCurrent && version == m_version)
+            return done(map_statement::current, m_hooks.now() - m_checkedAt);
+        if (version != m_version)
+            return done(map_statement::outdated, {});
+        done(m_storeAnswered ? map_statement::unknown : promise(holder), {});
     });
 }
 
@@ -448,6 +478,7 @@
     m_conflicts = 0;
     m_confirmDueAt = std::max(m_confirmDueAt, sentAt + confirmInterval);
     const auto concerned = proposed.livesOfChanges(m_map);
+    noteCurrent(outcome.value().version, sentAt);
     adopt(proposed, outcome.value().version, sentAt);
     m_hooks.onWritten(concerned);
     propose();
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -31,6 +31,8 @@
     std::function<void()> onChanged;
     /// The store does not confirm the map: the other owners are to be asked.
     std::function<void()> askOtherOwners;
+    /// Asks the one owner that checks the map for all of them; false if that is this node, or none is known.
+    std::function<bool()> askConfirmingOwner;
     /// This node changed the map; the given lives are concerned.
     std::function<void(const std::set<life_name>&)> onWritten;
 };
@@ -71,12 +73,13 @@
     /// Lives of the other owners, all of which have to promise.
     std::vector<life_name> otherOwners() const;
     const life_name& life() const { return m_keeper.life(); }
-    /// Another owner confirmed the present map; it was asked at this time.
-    void confirmed(time_point askedAt);
+    /// The present map was current in the store at this time, as another owner says.
+    void confirmed(time_point at);
     /// All other owners promised; they were asked at this time or later.
     void promised(time_point askedAt);
-    /// For another owner: whether the map of this version is current.
-    void confirmFor(const life_name& holder, row_version, std::function<void(map_statement)>);
+    /// For another owner: whether the map of this version is current, and how long ago it was for certain.
+    using statement_function = std::function<void(map_statement, duration confirmedAgo)>;
+    void confirmFor(const life_name& holder, row_version, statement_function);
     void adoptNewer(const range_map& map, row_version version) { adopt(map, version, std::nullopt); }
     void distrustGrants() { m_keeper.distrustGrants(); }
     /// Whether keys are about to be granted to the backend server.
@@ -87,13 +90,16 @@
 private:
     void adopt(const range_map&, row_version, std::optional<time_point> readAt);
     void confirmIfDue(time_point now);
+    void noteCurrent(row_version, time_point at);
     std::optional<range_map> nextMap(time_point now);
     range_map releaseOutwaited(const range_map&, time_point now) const;
     range_map coordinate(const range_map&, time_point now);
     range_map balance(const range_map&, time_point now);
     void propose();
     void wrote(const range_map& proposed, time_point sentAt, result<write_outcome>);
+    /// Asks the store whether the map is current; questions that come meanwhile share the answer.
     void checkMap(std::function<void(bool isCurrent)>);
+    void checked(row_version, time_point sentAt, const result<write_outcome>&);
     map_statement promise(const life_name& holder);
     bool isPromised(const life_name& holder, time_point now) const;
     void failed(const failure&);
@@ -125,6 +131,9 @@
     row_version m_unresolvedVersion = -1; ///< A write that expects this version may still take effect.
     std::map<life_name, time_point> m_promisedUntil; ///< Owners whose keys this node does not take over.
     life_name m_presumedLife;
+    row_version m_checkedVersion = 0; ///< Version that was current in the store
+    time_point m_checkedAt = time_point::min(); ///< at this time.
+    std::vector<std::function<void(bool isCurrent)>> m_awaitingCheck; ///< Not empty: a check is on its way.
     time_point m_extensionDueAt = time_point::min();
     time_point m_confirmDueAt = time_point::min();
     time_point m_mayWriteAt = time_point::min(); ///< After a failed write.
--- a/src/routes/internal/attempt_age.cpp
+++ b/src/routes/internal/attempt_age.cpp
@@ -8,7 +8,7 @@
 
     /// By which the longest known patience shrinks with each attempt, so that a single patient caller is forgotten
     /// after some hundred others.
-    constexpr double shrinking = 0.002;
+    constexpr double shrinking = 0.005;
     /// Patience of first attempts differs by the time that a connection took and by rounding.
     constexpr double usualDifference = 0.03;
     constexpr std::size_t mostRoutes = 4096; ///< Routes come from the configuration; the bound only limits memory.
