Keep the range map within a row of the store

Change: lives are written once and referred to by number; a plan merges settled neighbours of one owner when the map is half full, and splits nothing in a full one. Tests for both failed first (size) or guard the new merge (tokens).

--- a/src/ranges/internal/range_map.cpp
+++ b/src/ranges/internal/range_map.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 
 namespace heatherdrift {
 
@@ -57,18 +58,55 @@
             names.push_back(name);
     }
 
-    result<owned_range> readRange(const json& value)
+    /// Names of lives, each written once: with hundreds of ranges they would not fit into a row of the store.
+    class life_index {
+    public:
+        std::size_t of(const life_name& life)
+        {
+            const auto [entry, isNew] = m_positions.try_emplace(life, m_names.size());
+            if (isNew)
+                m_names.push_back(life);
+            return entry->second;
+        }
+        const std::vector<life_name>& names() const { return m_names; }
+
+    private:
+        std::map<life_name, std::size_t> m_positions;
+        std::vector<life_name> m_names;
+    };
+
+    result<std::vector<life_name>> readLives(const json& document)
+    {
+        const auto found = document.find("lives");
+        if (found == document.end() || !found->is_array())
+            return notRun(error_code::bad_request, "a range map needs lives");
+        std::vector<life_name> lives;
+        for (const auto& name : *found) {
+            if (!name.is_string())
+                return notRun(error_code::bad_request, "malformed life");
+            lives.push_back(name);
+        }
+        return lives;
+    }
+
+    result<life_name> readLife(const json& value, const std::vector<life_name>& lives)
+    {
+        if (!value.is_number_unsigned() || value.get<std::size_t>() >= lives.size())
+            return notRun(error_code::bad_request, "a range names an unknown life");
+        return lives[value.get<std::size_t>()];
+    }
+
+    result<owned_range> readRange(const json& value, const std::vector<life_name>& lives)
     {
-        const auto malformed = [] { return notRun(error_code::bad_request, "malformed range"); };
         if (!value.is_array() || value.size() != 7 || !value[0].is_number_unsigned() || !value[1].is_number_unsigned()
-            || !value[2].is_string() || !value[3].is_number_integer() || !value[4].is_array() || !value[5].is_string()
+            || !value[3].is_number_integer() || !value[4].is_array() || !value[5].is_string()
             || !value[6].is_number_integer())
-            return malformed();
-        owned_range range { { value[0], value[1] }, value[2], value[3], {}, value[5], value[6] };
-        for (const auto& name : value[4]) {
-            if (!name.is_string())
-                return malformed();
-            range.releasing.push_back(name);
+            return notRun(error_code::bad_request, "malformed range");
+        BOOST_OUTCOME_TRY(owner, readLife(value[2], lives));
+        owned_range range { { value[0], value[1] }, owner, value[3], {}, value[5], value[6] };
+        for (const auto& earlier : value[4]) {
+            BOOST_OUTCOME_TRY(life, readLife(earlier, lives));
+            range.releasing.push_back(life);
         }
         return range;
     }
@@ -107,6 +145,24 @@
     return std::ranges::any_of(m_ranges, [&](const auto& range) { return range.owner == life; });
 }
 
+range_map range_map::mergeSettled() const
+{
+    std::vector<owned_range> out;
+    for (const auto& range : m_ranges) {
+        const bool isSettled = !range.owner.empty() && range.releasing.empty();
+        if (out.empty() || !isSettled || out.back().owner != range.owner || !out.back().releasing.empty()) {
+            out.push_back(range);
+            continue;
+        }
+        // Both tokens are above those of all other owners of their keys, so the higher one is, too.
+        auto& last = out.back();
+        last.keys.last = range.keys.last;
+        last.fence = std::max(last.fence, range.fence);
+        last.handover.clear();
+    }
+    return range_map(std::move(out));
+}
+
 bool range_map::names(const life_name& life) const
 {
     return std::ranges::any_of(m_ranges, [&](const auto& range) {
@@ -202,10 +258,15 @@
 std::string range_map::toJson() const
 {
     json list = json::array();
-    for (const auto& range : m_ranges)
-        list.push_back({ range.keys.first, range.keys.last, range.owner, range.fence, range.releasing, range.handover,
-            range.silenceMs });
-    return json { { "ranges", std::move(list) } }.dump();
+    life_index lives;
+    for (const auto& range : m_ranges) {
+        json releasing = json::array();
+        for (const auto& life : range.releasing)
+            releasing.push_back(lives.of(life));
+        list.push_back({ range.keys.first, range.keys.last, lives.of(range.owner), range.fence, std::move(releasing),
+            range.handover, range.silenceMs });
+    }
+    return json { { "lives", lives.names() }, { "ranges", std::move(list) } }.dump();
 }
 
 result<range_map> range_map::fromJson(std::string_view text)
@@ -214,10 +275,11 @@
     const auto list = document.is_object() ? document.find("ranges") : document.end();
     if (!document.is_object() || list == document.end() || !list->is_array() || list->empty())
         return notRun(error_code::bad_request, "a range map needs ranges");
+    BOOST_OUTCOME_TRY(lives, readLives(document));
     std::vector<owned_range> ranges;
     key_number next = 0;
     for (const auto& value : *list) {
-        BOOST_OUTCOME_TRY(range, readRange(value));
+        BOOST_OUTCOME_TRY(range, readRange(value, lives));
         if (range.keys.first != next || range.keys.last < range.keys.first || range.keys.last > lastKey)
             return notRun(error_code::bad_request, "ranges must be in order without gaps");
         next = range.keys.last + 1;
--- a/src/ranges/internal/range_planner.cpp
+++ b/src/ranges/internal/range_planner.cpp
@@ -116,7 +116,7 @@
         const double mean = sum / static_cast<double>(others.size() + 1);
         const double ownLoad = self.load;
         range_map out = map;
-        for (int moves = 0; moves < terms.mostMoves; ++moves) {
+        for (int moves = 0; moves < terms.mostMoves && out.ranges().size() < range_map::mostRanges; ++moves) {
             auto& target = **std::ranges::min_element(others, {}, &range_candidate::load);
             const double gap = self.load - target.load;
             if (self.load < terms.leastLoad || gap < terms.leastGap)
@@ -140,7 +140,8 @@
     fencing_token fence, time_point now)
 {
     std::ranges::sort(owners, std::greater<>(), [](const owner_demand& one) { return one.owner.load; });
-    range_map out = map;
+    const bool isCrowded = map.ranges().size() > range_map::mostRanges / 2;
+    range_map out = isCrowded ? map.mergeSettled() : map;
     std::size_t givers = 0;
     for (auto& giver : owners) {
         if (!giver.keys || givers == terms.mostGivers)
--- a/src/ranges/range_map.h
+++ b/src/ranges/range_map.h
@@ -50,6 +50,9 @@
 /// Owners of all keys of a service: ranges in order without gaps. An immutable value; edits return a new one.
 class range_map {
 public:
+    /// Plans split no range of a map with so many, so that it fits into a row of the store.
+    static constexpr std::size_t mostRanges = 500;
+
     /// Without owners.
     range_map();
 
@@ -70,6 +73,9 @@
     /// The life has ended, so that it holds nothing; its keys go to the successor. An empty one leaves them unowned.
     range_map replace(const life_name& ended, const life_name& successor, fencing_token) const;
 
+    /// Neighbouring ranges of one owner that nobody else holds become one, with the higher token.
+    range_map mergeSettled() const;
+
     /// Moves for which no silence was decided get this one, so that an owner lost in the middle of a move is outwaited.
     range_map withSilence(std::int64_t silenceMs) const;
 
--- a/src/ranges/tests/range_map_test.cpp
+++ b/src/ranges/tests/range_map_test.cpp
@@ -82,12 +82,47 @@
         EXPECT_EQ(map.replace("a", "c", 3).find(15).silenceMs, 0);
     }
 
+    // Guards against a map that outgrows a row of the store (64 KiB), after which no key could move any more
+    // (mondego-mesh-grown: 351 ranges, the store refused every change).
+    TEST(RangeMap, FullMapFitsIntoARow)
+    {
+        constexpr std::size_t rowBytes = 65536 / 4 * 3; // Values are base64 on the wire.
+        auto map = range_map().assign({ 0, lastKey }, "earlier", 1);
+        constexpr key_number width = (lastKey + 1) / range_map::mostRanges;
+        for (key_number i = 0; i < range_map::mostRanges; ++i) {
+            const auto owner = "i-0123456789ab@17673384" + std::to_string(10000 + i % 40);
+            map = map.assign({ i * width, (i + 1) * width - 1 }, owner, 100000 + static_cast<fencing_token>(i));
+        }
+        map = map.release("earlier", { 0, lastKey }, "0123456789abcdef");
+        EXPECT_GE(map.ranges().size(), range_map::mostRanges);
+        EXPECT_LE(map.withSilence(3675).toJson().size(), rowBytes);
+    }
+
+    // Guards against a map that is full for ever because no two ranges become one again, and against a token that
+    // sinks.
+    TEST(RangeMap, SettledNeighboursOfOneOwnerAreMerged)
+    {
+        auto map = range_map().assign({ 0, lastKey }, "a", 1).assign({ 100, 199 }, "b", 2);
+        map = map.release("a", { 100, 199 }, "").assign({ 100, 199 }, "a", 3);
+        EXPECT_EQ(map.mergeSettled(), map);
+        map = map.release("b", { 100, 199 }, "warm").mergeSettled();
+        ASSERT_EQ(map.ranges().size(), 1u);
+        EXPECT_EQ(map.ranges()[0].fence, 3);
+        EXPECT_EQ(map.ranges()[0].owner, "a");
+    }
+
     // Guards against a malformed row of another writer that is taken for a map.
     TEST(RangeMap, MalformedTextIsRejected)
     {
-        for (const char* text : { "", "[]", "{}", R"({"ranges":[]})", R"({"ranges":[[0,10,"a",1,[],"",0]]})",
-                 R"({"ranges":[[0,65535,"a","1",[],"",0]]})", R"({"ranges":[[5,65535,"a",1,[],"",0]]})",
-                 R"({"ranges":[[0,99,"a",1,[],"",0],[50,65535,"a",1,[],"",0]]})" })
+        ASSERT_TRUE(range_map::fromJson(R"({"lives":["a"],"ranges":[[0,65535,0,1,[],"",0]]})").has_value());
+        for (const char* text :
+            { "", "[]", "{}", R"({"lives":["a"],"ranges":[]})", R"({"lives":["a"],"ranges":[[0,10,0,1,[],"",0]]})",
+                R"({"lives":["a"],"ranges":[[0,65535,0,"1",[],"",0]]})",
+                R"({"lives":["a"],"ranges":[[5,65535,0,1,[],"",0]]})",
+                R"({"lives":["a"],"ranges":[[0,99,0,1,[],"",0],[50,65535,0,1,[],"",0]]})",
+                R"({"ranges":[[0,65535,0,1,[],"",0]]})", R"({"lives":[1],"ranges":[[0,65535,0,1,[],"",0]]})",
+                R"({"lives":["a"],"ranges":[[0,65535,1,1,[],"",0]]})",
+                R"({"lives":["a"],"ranges":[[0,65535,0,1,["a"],"",0]]})" })
             EXPECT_TRUE(range_map::fromJson(text).has_error()) << text;
     }
 
