--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -12,13 +12,14 @@
     /// Rides through a restart of the node, or two lost heartbeats; keys of a lost owner are served again a lease
     /// later.
     constexpr auto leaseTime = std::chrono::milliseconds(3500);
-    constexpr auto confirmInterval = std::chrono::milliseconds(1000);
+    constexpr auto confirmInterval = std::chrono::milliseconds(700);
     /// A check of another owner that is not older is passed on; each call to the store costs more than a message.
-    constexpr auto recentCheck = std::chrono::milliseconds(500);
+    constexpr auto recentCheck = std::chrono::milliseconds(300);
     /// The owner that checks for all has not answered once.
-    constexpr auto ownCheckAge = confirmInterval + std::chrono::milliseconds(800);
-    /// Neither has the store. Leaves time for two rounds of promises before the lease ends.
-    constexpr auto extensionAge = confirmInterval + std::chrono::milliseconds(900);
+    constexpr auto ownCheckAge = confirmInterval + recentCheck + std::chrono::milliseconds(200);
+    /// Neither has the store. The other owners may need a second to find that out, and the next heartbeat has to come
+    /// before the lease ends.
+    constexpr auto extensionAge = ownCheckAge + std::chrono::milliseconds(100);
     constexpr auto extensionInterval = std::chrono::milliseconds(300);
     /// Longer than the interval of heartbeats and that of the promises.
     constexpr auto promiseTime = std::chrono::milliseconds(1600);
