--- a/src/http/tests/raw_peers.h
+++ b/src/http/tests/raw_peers.h
@@ -6,8 +6,10 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <gtest/gtest.h>
 #include <string>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -58,6 +60,33 @@
     bufferevent* m_stream;
 };
 
+/// Listening socket of which nobody accepts connections unless the test does.
+class plain_listener {
+public:
+    explicit plain_listener(int backlog)
+        : m_descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(bind(m_descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+        EXPECT_EQ(listen(m_descriptor, backlog), 0);
+        socklen_t size = sizeof(address);
+        getsockname(m_descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+        m_port = ntohs(address.sin_port);
+    }
+    ~plain_listener() { ::close(m_descriptor); }
+    plain_listener(const plain_listener&) = delete;
+    plain_listener& operator=(const plain_listener&) = delete;
+
+    int descriptor() const { return m_descriptor; }
+    endpoint address() const { return { "127.0.0.1", m_port }; }
+
+private:
+    int m_descriptor;
+    std::uint16_t m_port = 0;
+};
+
 /// Listens on loopback and hands the connections' events to a derived class.
 class raw_listener {
 public:
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -67,7 +67,7 @@
                           m_metrics.rangeMapChanged(static_cast<std::uint64_t>(m_ownership.version()),
                               map.keyCount(m_ownership.life()), map.ranges().size());
                       },
-                      [this] { m_council.ask(); }, [this] { return askConfirmingOwner(); },
+                      [this] { m_council.ask(); }, [this] { return m_council.askFirst(candidates()); },
                       [this](const std::set<life_name>& lives) {
                           m_balancer.written(boot_clock::now());
                           m_council.push(lives);
@@ -204,20 +204,6 @@
             return out;
         }
 
-        /// The first owner in order checks the range map for all of them.
-        bool askConfirmingOwner()
-        {
-            for (const auto& candidate : candidates()) {
-                if (candidate.node == m_settings.node)
-                    return false;
-                if (!m_ownership.map().hasOwner(candidate.range.life))
-                    continue;
-                m_council.askOne(candidate.node);
-                return true;
-            }
-            return false;
-        }
-
         void configurationChanged(const row_change& row)
         {
             if (row.key != m_port.configurationRow || !row.value)
--- a/src/mesh/internal/owner_council.cpp
+++ b/src/mesh/internal/owner_council.cpp
@@ -2,6 +2,7 @@
 
 #include "mesh/internal/range_replicas.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace heatherdrift {
@@ -62,13 +63,18 @@
     }
 }
 
-void owner_council::askOne(const instance_id& node)
+bool owner_council::askFirst(const std::vector<owner_candidate>& candidates)
 {
+    const auto first = std::ranges::find_if(
+        candidates, [this](const auto& candidate) { return m_ownership.map().hasOwner(candidate.range.life); });
+    if (first == candidates.end() || first->node == m_settings.node)
+        return false;
     const auto state = std::make_shared<round>();
     state->askedAt = boot_clock::now();
     state->version = m_ownership.version();
     state->asked = m_ownership.otherOwners().size();
-    send(state, node);
+    send(state, first->node);
+    return true;
 }
 
 void owner_council::send(const std::shared_ptr<round>& state, const instance_id& node)
--- a/src/mesh/internal/owner_council.h
+++ b/src/mesh/internal/owner_council.h
@@ -14,8 +14,9 @@
 
     /// Asks all other owners whether the range map of this node is current.
     void ask();
-    /// Asks one owner whether the map is current.
-    void askOne(const instance_id&);
+    /// Asks the first owner in order, which checks the map for all of them; false if that is this node or none is
+    /// known.
+    bool askFirst(const std::vector<owner_candidate>&);
     /// Sends the range map to the nodes of the given lives.
     void push(const std::set<life_name>&);
     /// Takes a range map that another node sent.
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -91,38 +91,6 @@
 
 void ownership::tableRead() { m_isTableRead = true; }
 
-void ownership::logGrant(const hold_grant& grant, std::size_t before, time_point receivedAt) const
-{
-    const auto milliseconds = [](duration value) {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-    };
-    const bool isUnusual = grant.isValid ? grant.ranges.size() != before : m_map.hasOwner(m_keeper.life());
-    if (!isUnusual)
-        return;
-    logEvent(grant.isValid ? log_event::holds_renewed : log_event::holds_not_renewed,
-        { { "life", m_keeper.life() }, { "ranges", std::to_string(grant.ranges.size()) },
-            { "ranges_before", std::to_string(before) }, { "hold_ms", milliseconds(grant.hold) },
-            { "map_version", std::to_string(m_version) },
-            { "map_confirmed_ms_ago", milliseconds(receivedAt - m_keeper.confirmedAt()) } });
-}
-
-void ownership::logMap(const range_map& map, row_version version, bool isOwnCall) const
-{
-    std::size_t releasing = 0;
-    std::size_t strayed = 0;
-    const auto candidates = m_hooks.candidates();
-    for (const auto& range : map.ranges()) {
-        releasing += !range.releasing.empty();
-        strayed += !isOwnerKnown(range.owner, candidates);
-    }
-    logEvent(log_event::range_map_changed,
-        { { "version", std::to_string(version) }, { "learned_by", isOwnCall ? "own call" : "feed" },
-            { "ranges", std::to_string(map.ranges().size()) },
-            { "own_keys", std::to_string(map.keyCount(m_keeper.life())) }, { "releasing", std::to_string(releasing) },
-            { "without_live_owner", std::to_string(strayed) }, { "candidates", std::to_string(candidates.size()) },
-            { "life", m_keeper.life() } });
-}
-
 void ownership::adopt(const range_map& map, row_version version, std::optional<time_point> readAt)
 {
     if (version < m_version)
