Spread the configuration and the members between the nodes

Ruled out: longer waits and batches alone, since the calls grow with the nodes; one reader without others, since its loss would delay all; rows without a mark of removals (two copies with the same newest change could differ, found by the property test).

Now two readers ask the store; the others learn with the answers that nodes give each other, and ask the store only when their knowledge grows old. An outdated owner gets the newest map together with its check. A node that restarts leaves the row of its backend server until the first heartbeat.

--- a/src/mesh/forward_protocol.h
+++ b/src/mesh/forward_protocol.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/failure.h"
+#include "base/store_types.h"
 #include "http/http_message.h"
 #include "ranges/range_map.h"
 
@@ -25,6 +26,21 @@
     std::optional<key_number> key;
 };
 
+/// What a node knows of a table of the store that all nodes follow.
+struct table_statement {
+    row_version newestChange = 0;
+    duration age {}; ///< The known rows were those in the store so long ago.
+
+    bool operator==(const table_statement&) const = default;
+};
+
+struct known_tables {
+    table_statement configuration;
+    table_statement members;
+
+    bool operator==(const known_tables&) const = default;
+};
+
 /// What a gate tells of itself with each answer.
 struct gate_load {
     life_name life;
@@ -32,6 +48,7 @@
     double demand = 0; ///< Slots that the requests for its keys need by their rate and service time, per slot.
     std::int64_t mapVersion = 0; ///< Of the range map that the gate knows.
     bool isDraining = false;
+    std::optional<known_tables> tables; ///< Empty before the node has read them.
 
     bool operator==(const gate_load&) const = default;
 };
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -157,6 +157,8 @@
     }
     m_context.directory.answered(m_attempt->node, answer.value().load, now);
     m_context.noticeMap(m_request.service, m_attempt->node, answer.value().load.mapVersion);
+    if (const auto& tables = answer.value().load.tables)
+        m_context.noticeTables(m_attempt->node, *tables, m_attempt->startedAt);
     finished(std::move(answer).value());
 }
 
--- a/src/mesh/internal/entry_service.h
+++ b/src/mesh/internal/entry_service.h
@@ -34,6 +34,8 @@
     std::function<void(const instance_id&)> probe;
     /// A gate of the service knows a range map of this version.
     std::function<void(const std::string& service, const instance_id&, row_version)> noticeMap;
+    /// What a node told of the store's tables, in answer to a request that was sent at this time.
+    std::function<void(const instance_id&, const known_tables&, time_point askedAt)> noticeTables;
 };
 
 /// Takes requests from callers, sends each to the gate of a backend server that may run it, and answers the caller.
--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -26,6 +26,7 @@
     constexpr const char* demandHeader = "heatherdrift-demand-permille";
     constexpr const char* mapHeader = "heatherdrift-range-map";
     constexpr const char* drainingHeader = "heatherdrift-draining";
+    constexpr const char* tablesHeader = "heatherdrift-tables"; ///< Four numbers, separated by commas.
     constexpr double permille = 1000;
     constexpr int statusRefused = 503;
 
@@ -62,6 +63,29 @@
 
     std::string microseconds(duration value) { return std::to_string(value.count()); }
 
+    std::string encodeTables(const known_tables& tables)
+    {
+        const auto encode = [](const table_statement& table) {
+            return std::to_string(table.newestChange) + "," + microseconds(table.age);
+        };
+        return encode(tables.configuration) + "," + encode(tables.members);
+    }
+
+    std::optional<known_tables> decodeTables(std::string_view text)
+    {
+        std::int64_t numbers[4] {};
+        for (auto& number : numbers) {
+            const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+            const bool isLast = &number == std::end(numbers) - 1;
+            text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+            if (error != std::errc() || number < 0 || (isLast ? !text.empty() : !text.starts_with(',')))
+                return std::nullopt;
+            if (!isLast)
+                text.remove_prefix(1);
+        }
+        return known_tables { { numbers[0], duration(numbers[1]) }, { numbers[2], duration(numbers[3]) } };
+    }
+
 } // namespace
 
 http_request encodeForward(const routed_request& request, time_point now)
@@ -129,6 +153,8 @@
     }
     if (answer.load.isDraining)
         headers.add(drainingHeader, "1");
+    if (answer.load.tables)
+        headers.add(tablesHeader, encodeTables(*answer.load.tables));
     return out;
 }
 
@@ -149,6 +175,7 @@
     answer.load.demand = static_cast<double>(reader.number(demandHeader).value_or(0)) / permille;
     answer.load.mapVersion = reader.number(mapHeader).value_or(0);
     answer.load.isDraining = !reader.text(drainingHeader).empty();
+    answer.load.tables = decodeTables(reader.text(tablesHeader));
     return answer;
 }
 
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -61,7 +61,7 @@
 
 gate_load gate_service::load() const
 {
-    gate_load load { m_backend.life, m_queue.load(), 0, m_hooks.mapVersion(), isDraining() };
+    gate_load load { m_backend.life, m_queue.load(), 0, m_hooks.mapVersion(), isDraining(), m_hooks.knownTables() };
     if (load.mapVersion == 0)
         return load;
     const double perSecond = m_keyLoad.total(boot_clock::now()) / std::chrono::duration<double>(keyLoadMemory).count();
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -22,6 +22,7 @@
 struct gate_hooks {
     std::function<key_access(key_number)> keyAccess;
     std::function<std::int64_t()> mapVersion; ///< 0 if the service is not partitioned.
+    std::function<std::optional<known_tables>()> knownTables; ///< What this node tells of the store's tables.
     std::function<void()> onConnectionRefused; ///< Nothing listens at the backend server's address.
 };
 
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -1,5 +1,6 @@
 #include "mesh/mesh_node.h"
 
+#include "base/hash.h"
 #include "mesh/internal/announcement_service.h"
 #include "mesh/internal/answer_sender.h"
 #include "mesh/internal/entry_service.h"
@@ -11,7 +12,7 @@
 #include "mesh/internal/peer_watch.h"
 #include "mesh/internal/range_balancer.h"
 #include "mesh/internal/range_replicas.h"
-#include "mesh/internal/table_watcher.h"
+#include "mesh/internal/table_exchange.h"
 #include "telemetry/log_event.h"
 
 #include <csignal>
@@ -22,17 +23,21 @@
 namespace {
 
     constexpr const char* memberTable = "heatherdrift-members"; ///< Keys are instances.
+    /// Row of the member table that changes with each removal of another one, as table_copy needs it.
+    constexpr const char* lastRemovalKey = "*last-removal";
     constexpr const char* rangeTable = "heatherdrift-ranges"; ///< Keys are services.
+    /// A configuration has to be in force within two seconds, also of the loss of the nodes that ask for it.
+    constexpr watch_terms configurationTerms {};
     /// Gates tell with their answers that they take no more, so that members may be learned a little late.
-    constexpr auto memberBatchTime = std::chrono::milliseconds(600);
+    constexpr watch_terms memberTerms { std::chrono::milliseconds(2500), std::chrono::milliseconds(600),
+        std::chrono::milliseconds(4000), std::chrono::milliseconds(3000), std::chrono::milliseconds(1500) };
     /// Nodes that a change concerns are sent it, and owners learn of others from the one that checks the map each
     /// second.
-    constexpr auto rangeBatchTime = std::chrono::seconds(5);
-    /// A configuration has to be in force within two seconds, also of the end of an outage, of which a silent read and
-    /// one backoff may be lost (mondego-mesh-grown fresh-6d2a: version 9 was applied 2.5 s late).
-    constexpr watch_pace configurationPace { {}, std::chrono::milliseconds(700), std::chrono::milliseconds(400) };
+    constexpr watch_terms rangeTerms { std::chrono::seconds(20), std::chrono::seconds(15), {}, {},
+        std::chrono::milliseconds(1500) };
     constexpr auto memberWriteTimeout = std::chrono::milliseconds(1500);
     constexpr auto memberWriteBackoff = std::chrono::milliseconds(300);
+    constexpr auto firstHeartbeatPatience = std::chrono::seconds(3); ///< Three intervals of usual heartbeats.
     constexpr auto recentLoad = std::chrono::seconds(2); ///< Older loads say nothing of a hot key's place.
     constexpr auto stopPollInterval = std::chrono::milliseconds(50);
     /// Callers see after two missed readiness checks, a second apart, that this node takes no more.
@@ -54,7 +59,8 @@
             , m_sender(base, m_settings.linkBytesPerSecond)
             , m_gate(base, m_settings, m_port,
                   { [this](key_number key) { return m_ownership.access(key); },
-                      [this] { return m_ownership.version(); }, [this] { m_announcements.backendRefused(); } })
+                      [this] { return m_ownership.version(); }, [this] { return m_tables.statement(); },
+                      [this] { m_announcements.backendRefused(); } })
             , m_ownership(base, m_settings, *m_store, { rangeTable, m_settings.service },
                   { boot_clock::now, [this] { return candidates(); },
                       [this](const range_map& map, fencing_token fence, time_point now) {
@@ -91,16 +97,24 @@
                   [this](const std::string& service, const instance_id& node, row_version version) {
                       if (service != m_settings.service)
                           m_replicas.notice(service, node, version);
+                  },
+                  [this](const instance_id& node, const known_tables& tables, time_point askedAt) {
+                      m_tables.notice(node, tables, askedAt);
                   } })
             , m_replicas(m_directory)
             , m_watch(base, m_settings, m_directory,
                   { [this](const instance_id& node) { nodeReplaced(node); },
                       [this](const instance_id& node) { removeLost(node); },
-                      [this] { return isPartitioned() && m_balancer.needsLoads(); } })
+                      [this] { return isPartitioned() && m_balancer.needsLoads(); },
+                      [this](const instance_id& node, const known_tables& tables, time_point askedAt) {
+                          m_tables.notice(node, tables, askedAt);
+                      } })
             , m_council(m_settings, m_directory, m_ownership)
-            , m_configurationWatcher(base, *m_store, m_port.configurationRow.table, configurationPace,
-                  { [this](const row_change& row) { configurationChanged(row); }, nullptr, nullptr })
-            , m_memberWatcher(base, *m_store, memberTable, { memberBatchTime },
+            , m_random(seededRandom(hashBytes(m_settings.node)))
+            , m_configurationWatcher(base, *m_store, m_port.configurationRow.table, configurationTerms,
+                  { [this](const row_change& row) { configurationChanged(row); }, nullptr, nullptr,
+                      [this] { return m_tables.place(); }, m_random })
+            , m_memberWatcher(base, *m_store, memberTable, memberTerms,
                   { [this](const row_change& row) { memberChanged(row); },
                       [this] {
                           m_areMembersRead = true;
@@ -108,10 +122,13 @@
                       },
                       [](bool isAvailable) {
                           logEvent(isAvailable ? log_event::store_available : log_event::store_unavailable);
-                      } })
-            , m_rangeWatcher(base, *m_store, rangeTable, { rangeBatchTime },
-                  { [this](const row_change& row) { rangesChanged(row); }, [this] { m_ownership.tableRead(); },
-                      nullptr })
+                      },
+                      [this] { return m_tables.place(); }, m_random })
+            , m_rangeWatcher(base, *m_store, rangeTable, rangeTerms,
+                  { [this](const row_change& row) { rangesChanged(row); }, [this] { m_ownership.tableRead(); }, nullptr,
+                      [] { return fleet_place(); }, m_random })
+            , m_tables(base, m_settings, m_directory, m_configurationWatcher, m_memberWatcher,
+                  { [this](const instance_id& node) { m_watch.probe(node); } })
             , m_publishRetry(base, [this] { publish(); })
             , m_stopPoll(base, [this] { stopIfDone(); })
         {
@@ -146,6 +163,7 @@
         {
             m_configurationWatcher.start();
             m_memberWatcher.start();
+            m_tables.start();
             m_watch.start();
             logEvent(log_event::node_started, { { "instance", m_settings.node } });
             event_base_dispatch(m_base);
@@ -237,6 +255,8 @@
         void memberChanged(const row_change& row)
         {
             const instance_id& node = row.key.key;
+            if (node == lastRemovalKey)
+                return;
             if (node == m_settings.node)
                 return ownRowChanged(row);
             if (!row.value)
@@ -303,6 +323,7 @@
             logEvent(log_event::member_removed, { { "node", node } });
             conditional_write change;
             change.changes.push_back({ { memberTable, node }, 0, std::nullopt });
+            change.changes.push_back({ { memberTable, lastRemovalKey }, 0, node });
             m_directory.remove(node);
             m_store->write(std::move(change), boot_clock::now() + memberWriteTimeout,
                 [node](const result<write_outcome>& outcome) {
@@ -341,6 +362,10 @@
         /// Writes this node's row if it differs from the one that was written last.
         void publish()
         {
+            // The row of an earlier process stands for a backend server that may live; it is replaced when the first
+            // heartbeat tells which one does, or does not come.
+            if (!m_announcements.current() && boot_clock::now() < m_announcesAt)
+                return m_publishRetry.startAt(m_announcesAt);
             const auto member = ownMember();
             m_directory.update(member, boot_clock::now());
             // The row of an earlier process names the life whose keys the present one takes over.
@@ -383,6 +408,8 @@
                 return exchange->respond({ { statusOtherNode, {} }, "" });
             if (exchange->request().target == peer_watch::target)
                 return exchange->respond(encodePing());
+            if (exchange->request().target == table_exchange::target)
+                return m_tables.handle(exchange);
             if (exchange->request().target == owner_council::target)
                 return m_council.handle(exchange);
             if (exchange->request().target == range_balancer::target)
@@ -464,13 +491,16 @@
         range_replicas m_replicas;
         peer_watch m_watch;
         owner_council m_council;
+        random_function m_random;
         table_watcher m_configurationWatcher;
         table_watcher m_memberWatcher;
         table_watcher m_rangeWatcher; ///< Runs only if the service of this node is partitioned.
+        table_exchange m_tables;
         bool m_areMembersRead = false;
         bool m_isOwnershipStarted = false;
         std::optional<mesh_member> m_published;
         bool m_isPublishing = false;
+        time_point m_announcesAt = boot_clock::now() + firstHeartbeatPatience;
         timer m_publishRetry;
         bool m_isStopping = false;
         time_point m_closesGateAt {};
--- a/src/mesh/internal/owner_council.cpp
+++ b/src/mesh/internal/owner_council.cpp
@@ -97,9 +97,10 @@
         return m_ownership.confirmed(state->askedAt - confirmedAgo(answer.value().head));
     if (statement == nameOf(map_statement::outdated)) {
         const auto newer = parseVersionedRanges(answer.value().body);
-        if (newer.has_value())
-            m_ownership.adoptNewer(newer.value().map, newer.value().version);
-        return;
+        if (newer.has_error() || newer.value().version < m_ownership.version())
+            return;
+        m_ownership.adoptNewer(newer.value().map, newer.value().version);
+        return m_ownership.confirmed(state->askedAt - confirmedAgo(answer.value().head));
     }
     if (statement == nameOf(map_statement::promised) && ++state->promised == state->asked)
         m_ownership.promised(state->askedAt);
@@ -136,10 +137,10 @@
     const std::string_view text = headers.find(versionHeader).value_or("");
     row_version version = 0;
     std::from_chars(text.data(), text.data() + text.size(), version);
-    m_ownership.confirmFor(holder, version, [this, exchange](map_statement statement, duration ago) {
+    m_ownership.confirmFor(holder, version, [this, exchange](map_statement statement, std::optional<duration> ago) {
         http_response response { { 200, { { statementHeader, nameOf(statement) } } }, "" };
-        if (statement == map_statement::current)
-            response.head.headers.add(confirmedAgoHeader, std::to_string(ago.count()));
+        if (ago)
+            response.head.headers.add(confirmedAgoHeader, std::to_string(ago->count()));
         if (statement == map_statement::outdated)
             response.body = toJson(versioned_ranges { m_ownership.version(), m_ownership.map() });
         exchange->respond(std::move(response));
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -252,8 +252,8 @@
 
 void ownership::noteCurrent(row_version version, time_point at)
 {
+    m_checkedAt = version == m_checkedVersion ? std::max(m_checkedAt, at) : at;
     m_checkedVersion = version;
-    m_checkedAt = at;
 }
 
 std::vector<life_name> ownership::otherOwners() const
@@ -274,21 +274,28 @@
     m_hooks.onChanged();
 }
 
+std::optional<duration> ownership::recentlyChecked() const
+{
+    const auto age = m_hooks.now() - m_checkedAt;
+    return m_checkedVersion == m_version && age <= recentCheck ? std::optional<duration>(age) : std::nullopt;
+}
+
 void ownership::confirmFor(const life_name& holder, row_version version, statement_function done)
 {
-    if (version != m_version)
-        return done(version < m_version ? map_statement::outdated : map_statement::unknown, {});
-    const auto now = m_hooks.now();
-    if (m_checkedVersion == version && now - m_checkedAt <= recentCheck)
-        return done(map_statement::current, now - m_checkedAt);
+    const auto state = [this, version](map_statement ofSame) {
+        if (version == m_version)
+            return ofSame;
+        return version < m_version ? map_statement::outdated : map_statement::unknown;
+    };
+    if (const auto age = recentlyChecked(); age && version <= m_version)
+        return done(state(map_statement::current), age);
     if (!m_storeAnswered)
-        return done(promise(holder), {});
-    checkMap([this, holder, version, done = std::move(done)](bool isCurrent) {
-        if (isCurrent && version == m_version)
-            return done(map_statement::current, m_hooks.now() - m_checkedAt);
-        if (version != m_version)
-            return done(map_statement::outdated, {});
-        done(m_storeAnswered ? map_statement::unknown : promise(holder), {});
+        return done(version == m_version ? promise(holder) : state(map_statement::unknown), {});
+    checkMap([this, holder, version, state, done = std::move(done)](bool) {
+        if (const auto age = recentlyChecked())
+            return done(state(map_statement::current), age);
+        const bool isPromise = version == m_version && !m_storeAnswered;
+        done(isPromise ? promise(holder) : state(map_statement::unknown), {});
     });
 }
 
@@ -463,10 +470,13 @@
         if (row.key != m_row || !row.value)
             continue;
         const auto map = range_map::fromJson(*row.value);
-        if (map.has_value())
-            adopt(map.value(), row.version, sentAt);
-        else
+        if (map.has_error()) {
             logEvent(log_event::peer_message_rejected, { { "target", m_row.key }, { "reason", map.error().message } });
+            continue;
+        }
+        if (row.version >= m_version)
+            noteCurrent(row.version, sentAt);
+        adopt(map.value(), row.version, sentAt);
     }
 }
 
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -77,8 +77,9 @@
     void confirmed(time_point at);
     /// All other owners promised; they were asked at this time or later.
     void promised(time_point askedAt);
-    /// For another owner: whether the map of this version is current, and how long ago it was for certain.
-    using statement_function = std::function<void(map_statement, duration confirmedAgo)>;
+    /// For another owner: whether the map of this version is current, and how long ago the newest known one was for
+    /// certain.
+    using statement_function = std::function<void(map_statement, std::optional<duration> confirmedAgo)>;
     void confirmFor(const life_name& holder, row_version, statement_function);
     void adoptNewer(const range_map& map, row_version version) { adopt(map, version, std::nullopt); }
     /// Whether keys are about to be granted to the backend server.
@@ -99,6 +100,8 @@
     /// Asks the store whether the map is current; questions that come meanwhile share the answer.
     void checkMap(std::function<void(bool isCurrent)>);
     void checked(row_version, time_point sentAt, const result<write_outcome>&);
+    /// How long ago the present map was current in the store, if that is recent enough to be passed on.
+    std::optional<duration> recentlyChecked() const;
     map_statement promise(const life_name& holder);
     bool isPromised(const life_name& holder, time_point now) const;
     void failed(const failure&);
--- a/src/mesh/internal/peer_watch.cpp
+++ b/src/mesh/internal/peer_watch.cpp
@@ -74,8 +74,9 @@
     http_request request;
     request.target = target;
     request.headers.add(targetNodeHeader, node);
-    fetch(m_directory.client(node), std::move(request), boot_clock::now() + answerTimeout, answerLimitBytes,
-        [this, node](const result<http_response>& answer) {
+    const auto askedAt = boot_clock::now();
+    fetch(m_directory.client(node), std::move(request), askedAt + answerTimeout, answerLimitBytes,
+        [this, node, askedAt](const result<http_response>& answer) {
             m_asked.erase(node);
             const auto now = boot_clock::now();
             if (answer.has_error())
@@ -84,6 +85,8 @@
                 return m_hooks.onReplaced(node);
             const auto decoded = decodeAnswer(answer.value());
             m_directory.answered(node, decoded.has_value() ? std::optional(decoded.value().load) : std::nullopt, now);
+            if (decoded.has_value() && decoded.value().load.tables)
+                m_hooks.noticeTables(node, *decoded.value().load.tables, askedAt);
         });
 }
 
--- a/src/mesh/internal/peer_watch.h
+++ b/src/mesh/internal/peer_watch.h
@@ -14,6 +14,8 @@
     std::function<void(const instance_id&)> onLost;
     /// Whether the loads of the service's other nodes matter now.
     std::function<bool()> needsLoads;
+    /// What a node told of the store's tables, in answer to a request that was sent at this time.
+    std::function<void(const instance_id&, const known_tables&, time_point askedAt)> noticeTables;
 };
 
 /// Asks other nodes whether they are there: those of the own service regularly, so that the keys of a lost one are
--- a/src/mesh/internal/table_watcher.h
+++ b/src/mesh/internal/table_watcher.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "admission/random_function.h"
 #include "base/event_handle.h"
-#include "store/watched_store.h"
-
-#include <map>
+#include "mesh/internal/table_copy.h"
+#include "mesh/internal/watch_schedule.h"
 
 namespace heatherdrift {
 
@@ -11,41 +11,57 @@
     std::function<void(const row_change&)> onRow; ///< Newer than any earlier state of the row.
     std::function<void()> onRead; ///< The whole table was read.
     std::function<void(bool isAvailable)> onAvailability;
+    std::function<fleet_place()> place;
+    random_function random;
 };
 
-/// How soon a watcher learns of a change; sooner costs more calls to the store.
-struct watch_pace {
-    duration batchTime {}; ///< Changes that follow each other within this time share one call.
-    duration readTimeout = std::chrono::milliseconds(1500);
-    duration longestBackoff = std::chrono::milliseconds(800); ///< Bounds the delay after an outage.
-};
-
-/// Follows one table of the store: reads it, then waits for its changes, and reads it anew when changes were missed.
+/// Follows one table of the store: reads it, then learns of its changes from the store or from other nodes, and reads
+/// it anew when changes were missed.
 class table_watcher {
 public:
-    table_watcher(event_base*, watched_store&, std::string table, const watch_pace&, table_watcher_hooks);
+    table_watcher(event_base*, watched_store&, std::string table, const watch_terms&, table_watcher_hooks);
 
     void start();
-    /// Version up to which the table is known; 0 before the first read.
-    row_version version() const { return m_version; }
+    const std::string& table() const { return m_table; }
+    const table_copy& copy() const { return m_copy; }
+    /// Whether the whole table was read once.
+    bool isRead() const { return m_isRead; }
+    /// Latest time at which the known rows were those in the store; zero: never.
+    time_point currentAt() const { return m_currentAt; }
+    /// Whether another node should be asked now, before this one asks the store.
+    bool needsReader(time_point now) const;
+
+    /// What another node knows and this one did not.
+    void take(const table_news&);
+    /// Another node knows no newer change, and its rows were those in the store at this time.
+    void confirm(time_point);
 
 private:
+    void schedule();
+    void askIfDue();
     void read();
-    void watch();
-    void apply(const row_snapshot&, bool isWhole);
-    void retry();
+    void watch(duration wait);
+    void answered(bool hasNews, time_point currentAt);
+    void failed(const failure&);
+    void tell(const std::vector<row_change>&);
     void setAvailable(bool);
+    watch_state state() const;
+    watch_question next() const;
 
     watched_store& m_store;
     std::string m_table;
-    watch_pace m_pace;
+    watch_terms m_terms;
     table_watcher_hooks m_hooks;
-    row_version m_version = 0;
-    std::map<row_key, row_version> m_rows;
+    table_copy m_copy;
+    time_point m_currentAt {};
+    time_point m_answeredAt {};
+    int m_failures = 0;
+    bool m_hasNews = false;
     bool m_needsRead = true;
+    bool m_isRead = false;
     bool m_isAvailable = true;
-    duration m_backoff {};
-    timer m_retry;
+    double m_chance = 0; ///< Spreads the questions of the nodes; drawn for each question.
+    timer m_timer;
 };
 
 } // namespace heatherdrift
--- a/src/mesh/tests/forward_protocol_test.cpp
+++ b/src/mesh/tests/forward_protocol_test.cpp
@@ -50,13 +50,28 @@
         EXPECT_TRUE(decodeForward({ "GET", "/", {}, "" }, now).has_error());
     }
 
+    // Guards against a statement about the tables that is made up from a damaged one, and against one that reaches the
+    // caller.
+    TEST(ForwardProtocol, DamagedStatementAboutTablesIsNone)
+    {
+        for (const char* text : { "1,2,3", "1,2,3,x", "1,2,3,-4", "" }) {
+            auto message = encodeAnswer({});
+            message.head.headers.set("heatherdrift-tables", text);
+            const auto got = decodeAnswer(message);
+            ASSERT_TRUE(got.has_value());
+            EXPECT_FALSE(got.value().load.tables) << text;
+            EXPECT_FALSE(got.value().response.head.headers.find("heatherdrift-tables"));
+        }
+    }
+
     // Guards against a refusal whose verdict is lost on the way, which would turn "not run" into "may have run".
     TEST(ForwardProtocol, AnswersKeepTheirVerdict)
     {
         gate_answer refused;
         refused.reason = error_code::overloaded;
         refused.retryAfter = std::chrono::milliseconds(250);
-        refused.load = { "life", 1.5, 0.7, 12, true };
+        const known_tables tables { { 40, std::chrono::milliseconds(900) }, { 71, std::chrono::milliseconds(3) } };
+        refused.load = { "life", 1.5, 0.7, 12, true, tables };
         const auto got = decodeAnswer(encodeAnswer(refused));
         ASSERT_TRUE(got.has_value());
         EXPECT_EQ(got.value().outcome, verdict::not_run);
--- a/src/mesh/tests/ownership_history_test.cpp
+++ b/src/mesh/tests/ownership_history_test.cpp
@@ -188,13 +188,13 @@
             const auto version = node.keys->version();
             other.keys->confirmFor(node.keys->life(), version,
                 [&node, &other, promised, version, count, askedAt = m_now](
-                    map_statement statement, duration confirmedAgo) {
+                    map_statement statement, std::optional<duration> confirmedAgo) {
                     if (node.keys->version() != version)
                         return;
-                    if (statement == map_statement::current)
-                        node.keys->confirmed(askedAt - confirmedAgo);
                     if (statement == map_statement::outdated)
                         node.keys->adoptNewer(other.keys->map(), other.keys->version());
+                    if (confirmedAgo && node.keys->version() == other.keys->version())
+                        node.keys->confirmed(askedAt - *confirmedAgo);
                     if (statement == map_statement::promised && ++*promised == count)
                         node.keys->promised(askedAt);
                 });
--- a/src/mesh/tests/request_path_test.cpp
+++ b/src/mesh/tests/request_path_test.cpp
@@ -51,7 +51,8 @@
             settings.service = "s";
             settings.backend = backend->address();
             gate = std::make_unique<gate_service>(loop.base(), settings, port,
-                gate_hooks { [this](key_number) { return access; }, [] { return std::int64_t { 0 }; }, [] {} });
+                gate_hooks { [this](key_number) { return access; }, [] { return std::int64_t { 0 }; },
+                    [] { return std::optional<known_tables>(); }, [] {} });
             gate->setBackend({ "i@1", "i", 2 });
             directory = std::make_unique<mesh_directory>(loop.base(), settings);
             mesh_member self;
@@ -64,7 +65,8 @@
             entry = std::make_unique<entry_service>(
                 entry_context { loop.base(), settings, port, routes, *directory, *gate, &metrics,
                     [this](const std::string&) { return &map; }, [](const std::string&) {}, [](const instance_id&) {},
-                    [](const instance_id&) {}, [](const std::string&, const instance_id&, row_version) {} });
+                    [](const instance_id&) {}, [](const std::string&, const instance_id&, row_version) {},
+                    [](const instance_id&, const known_tables&, time_point) {} });
             server = loop.listen([this](http_exchange_ptr exchange) { entry->handle(std::move(exchange)); });
         }
 
--- /dev/null
+++ b/src/mesh/tests/table_copy_test.cpp
@@ -0,0 +1,124 @@
+#include "mesh/internal/table_copy.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace heatherdrift {
+namespace {
+
+    row_change row(const std::string& key, row_version version, std::optional<std::string> value = "v")
+    {
+        return { { "t", key }, version, std::move(value) };
+    }
+
+    // Guards against a removal that other nodes never learn of.
+    TEST(TableCopyTest, RemovedRowsArePassedOn)
+    {
+        table_copy copy;
+        copy.replace({ { row("a", 1), row("b", 2) }, 3 });
+        copy.merge({ { row("b", 9, std::nullopt), row("removals", 9) }, 9 });
+        const auto news = copy.newsAfter(2);
+        EXPECT_FALSE(news.isWhole);
+        EXPECT_EQ(news.rows.rows, (std::vector<row_change> { row("b", 9, std::nullopt), row("removals", 9) }));
+    }
+
+    // Guards against a node that asks for changes again and again because other tables of the store change.
+    TEST(TableCopyTest, ChangesOfOtherTablesAreNoNews)
+    {
+        table_copy copy;
+        copy.replace({ { row("a", 1) }, 3 });
+        copy.merge({ {}, 50 });
+        EXPECT_EQ(copy.version(), 50);
+        EXPECT_EQ(copy.newestChange(), 1);
+    }
+
+    // Guards against a removed row that comes back from a node that knows only its earlier state.
+    TEST(TableCopyTest, NodeThatNeverSawARowRemovesItFromOthers)
+    {
+        table_copy reader;
+        reader.replace({ { row("a", 1), row("removals", 5) }, 6 });
+        table_copy behind;
+        behind.replace({ { row("a", 1), row("b", 4) }, 4 });
+        EXPECT_TRUE(reader.take(behind.newsAfter(reader.newestChange())).empty());
+        const auto news = reader.newsAfter(behind.newestChange());
+        EXPECT_TRUE(news.isWhole);
+        EXPECT_EQ(behind.take(news), (std::vector<row_change> { row("removals", 5), row("b", 5, std::nullopt) }));
+    }
+
+    /// The table in the store, with the row that each removal changes.
+    struct table_model {
+        std::map<row_key, row_change> rows;
+        row_version version = 0;
+
+        void change(int key, bool isRemoval)
+        {
+            const auto name = std::string(1, static_cast<char>('a' + key));
+            ++version;
+            rows[row(name, 0).key] = isRemoval ? row(name, version, std::nullopt) : row(name, version);
+            if (isRemoval)
+                rows[row("removals", 0).key] = row("removals", version);
+        }
+
+        row_snapshot whole() const
+        {
+            row_snapshot out;
+            out.version = version;
+            for (const auto& [key, one] : rows) {
+                if (one.value)
+                    out.rows.push_back(one);
+            }
+            return out;
+        }
+
+        row_snapshot changesAfter(row_version after) const
+        {
+            row_snapshot out;
+            out.version = version;
+            for (const auto& [key, one] : rows) {
+                if (one.version > after)
+                    out.rows.push_back(one);
+            }
+            return out;
+        }
+    };
+
+    std::map<row_key, row_change> liveRows(const table_copy& copy)
+    {
+        std::map<row_key, row_change> out;
+        for (const auto& one : copy.newsAfter(0).rows.rows) {
+            if (one.value)
+                out[one.key] = one;
+        }
+        return out;
+    }
+
+    // Guards against two nodes whose rows differ although their newest change is the same, so that neither asks the
+    // other, and against a row that goes back; whatever each of them heard from the store and from the other.
+    RC_GTEST_PROP(TableCopyProperty, EqualNewestChangesMeanEqualRows, ())
+    {
+        table_model table;
+        table_copy nodes[2];
+        for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100))) {
+            auto& node = nodes[step % 2];
+            const auto& other = nodes[1 - step % 2];
+            if (step < 50)
+                table.change(step % 5, step % 3 == 0);
+            else if (step < 65)
+                node.replace(table.whole());
+            else if (step < 80 && node.version() > 0)
+                node.merge(table.changesAfter(node.version()));
+            else if (node.version() > 0)
+                node.take(other.newsAfter(node.newestChange()));
+            if (nodes[0].newestChange() == nodes[1].newestChange())
+                RC_ASSERT(liveRows(nodes[0]) == liveRows(nodes[1]));
+        }
+        nodes[0].replace(table.whole());
+        nodes[1].take(nodes[0].newsAfter(nodes[1].newestChange()));
+        const auto rows = table.whole().rows;
+        RC_ASSERT(liveRows(nodes[1]).size() == rows.size());
+        for (const auto& one : rows)
+            RC_ASSERT(liveRows(nodes[1])[one.key] == one);
+    }
+
+} // namespace
+} // namespace heatherdrift
--- a/src/mesh/tests/table_watcher_test.cpp
+++ b/src/mesh/tests/table_watcher_test.cpp
@@ -33,13 +33,25 @@
     class TableWatcherTest : public testing::Test {
     protected:
         TableWatcherTest()
-            : watcher(base.get(), store, "t", { {}, readTimeout, std::chrono::milliseconds(1) },
+            : watcher(base.get(), store, "t", terms(),
                 { [this](const row_change& row) { seen.push_back(row); }, [this] { ++wholeReads; },
-                    [this](bool isAvailable) { availability.push_back(isAvailable); } })
+                    [this](bool isAvailable) { availability.push_back(isAvailable); },
+                    [this] {
+                        return fleet_place { rank, rank + 1 };
+                    },
+                    [] { return 0.0; } })
         {
             watcher.start();
         }
 
+        static watch_terms terms()
+        {
+            watch_terms terms;
+            terms.patience = std::chrono::milliseconds(30);
+            terms.readTimeout = readTimeout;
+            return terms;
+        }
+
         void answerRead(const result<row_snapshot>& value) { answer(store.reads, value); }
         void answerWatch(const result<row_snapshot>& value) { answer(store.watches, value); }
 
@@ -62,6 +74,7 @@
         std::vector<row_change> seen;
         std::vector<bool> availability;
         int wholeReads = 0;
+        std::size_t rank = 0;
         table_watcher watcher;
     };
 
@@ -79,8 +92,8 @@
     TEST_F(TableWatcherTest, OlderStatesOfARowAreNotTold)
     {
         answerRead(row_snapshot { { row("a", 4) }, 5 });
-        EXPECT_EQ(store.watchedAfter, 5);
         answerWatch(row_snapshot { { row("a", 3), row("a", 6) }, 6 });
+        EXPECT_EQ(store.watchedAfter, 5);
         answerWatch(row_snapshot { { row("a", 6) }, 6 });
         ASSERT_EQ(seen.size(), 2u);
         EXPECT_EQ(seen[1].version, 6);
@@ -109,7 +122,41 @@
         EXPECT_EQ(seen.size(), 2u);
         answerRead(row_snapshot { { row("a", 4), row("b", 8) }, 8 });
         EXPECT_EQ(seen.size(), 2u);
-        EXPECT_EQ(watcher.version(), 8);
+        EXPECT_EQ(watcher.copy().version(), 8);
+    }
+
+    // Guards against a table that stays old on a node that nobody tells of it (mondego-mesh-grown hunt-c68d-3: a watch
+    // on a connection that went silent with an outage).
+    TEST_F(TableWatcherTest, NodeThatIsToldNothingAsksTheStore)
+    {
+        rank = 40;
+        answerRead(row_snapshot { { row("a", 4) }, 5 });
+        answerWatch(row_snapshot { { row("a", 6) }, 6 });
+        EXPECT_EQ(seen.back(), row("a", 6));
+    }
+
+    // Guards against a change that another node told and that is told again, or undone, by a later answer of the store.
+    TEST_F(TableWatcherTest, ChangesOfOtherNodesAreTakenOnce)
+    {
+        rank = 40;
+        answerRead(row_snapshot { { row("a", 4) }, 5 });
+        watcher.take({ { { row("a", 7) }, 7 }, false });
+        answerWatch(row_snapshot { { row("a", 7) }, 8 });
+        EXPECT_EQ(store.watchedAfter, 7);
+        EXPECT_EQ(seen, (std::vector<row_change> { row("a", 4), row("a", 7) }));
+    }
+
+    // Guards against calls to the store by a node that the others keep up to date.
+    TEST_F(TableWatcherTest, NodeThatIsToldOfTheTableDoesNotAskTheStore)
+    {
+        rank = 40;
+        answerRead(row_snapshot { { row("a", 4) }, 5 });
+        watcher.confirm(boot_clock::now() + std::chrono::hours(1));
+        const auto end = boot_clock::now() + 4 * terms().patience;
+        while (boot_clock::now() < end)
+            event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        EXPECT_TRUE(store.watches.empty());
+        EXPECT_FALSE(watcher.needsReader(boot_clock::now()));
     }
 
     // Guards against an outage that is told again and again, or never ends.
--- /dev/null
+++ b/src/mesh/tests/watch_schedule_test.cpp
@@ -0,0 +1,182 @@
+#include "mesh/internal/watch_schedule.h"
+
+#include <gtest/gtest.h>
+#include <random>
+#include <vector>
+
+namespace heatherdrift {
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr auto step = milliseconds(10);
+    constexpr auto requestTime = milliseconds(200); ///< A node's knowledge reaches another one with an answer.
+    const time_point start { std::chrono::hours(1) };
+
+    /// Nodes that follow one table: each asks the store as the schedule says, and hears from a random node with each of
+    /// its requests.
+    class watching_fleet {
+    public:
+        watching_fleet(std::size_t nodes, int requestsPerSecond)
+            : m_nodes(nodes)
+            , m_requestsPerSecond(requestsPerSecond)
+        {
+            for (std::size_t i = 0; i < nodes; ++i) {
+                m_nodes[i].state.place = { i, nodes };
+                m_nodes[i].state.currentAt = m_nodes[i].state.answeredAt = start;
+            }
+        }
+
+        void run(duration length)
+        {
+            for (const auto end = now + length; now < end; now += step) {
+                for (auto& node : m_nodes)
+                    advance(node);
+            }
+        }
+
+        duration oldest() const
+        {
+            duration out {};
+            for (const auto& node : m_nodes) {
+                if (!node.isLost)
+                    out = std::max(out, now - node.state.currentAt);
+            }
+            return out;
+        }
+
+        void lose(std::size_t node) { m_nodes[node].isLost = true; }
+        void cutFromStore(std::size_t from, std::size_t to, bool isCut)
+        {
+            for (std::size_t i = from; i < to; ++i)
+                m_nodes[i].isCut = isCut;
+        }
+
+        time_point now = start;
+        int calls = 0; ///< To the store.
+        int questions = 0; ///< To readers.
+
+    private:
+        struct node {
+            watch_state state;
+            bool isAsking = false;
+            time_point answerAt {};
+            time_point mayAskReaderAt {};
+            double chance = 0;
+            bool isLost = false;
+            bool isCut = false;
+        };
+
+        double random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+        void advance(node& node)
+        {
+            if (node.isLost)
+                return;
+            if (random() < m_requestsPerSecond * std::chrono::duration<double>(step).count())
+                hear(node, m_nodes[static_cast<std::size_t>(random() * static_cast<double>(m_nodes.size()))],
+                    requestTime);
+            if (node.isAsking && now >= node.answerAt)
+                answer(node);
+            if (asksReader(m_terms, node.state, now) && now >= node.mayAskReaderAt) {
+                node.mayAskReaderAt = now + milliseconds(300);
+                const auto readers = static_cast<double>(node.state.place.readers());
+                hear(node, m_nodes[static_cast<std::size_t>(random() * readers)], milliseconds(5));
+                ++questions;
+            }
+            const auto question = nextQuestion(m_terms, node.state, node.chance);
+            if (node.isAsking || now < question.at)
+                return;
+            ++calls;
+            node.isAsking = true;
+            node.answerAt = now + question.wait + (node.isCut ? m_terms.readTimeout : duration(milliseconds(5)));
+        }
+
+        void answer(node& node)
+        {
+            node.isAsking = false;
+            node.chance = random();
+            node.state.answeredAt = now;
+            node.state.failures = node.isCut ? node.state.failures + 1 : 0;
+            if (!node.isCut)
+                node.state.currentAt = node.answerAt - milliseconds(5);
+        }
+
+        void hear(node& node, const watching_fleet::node& other, duration age)
+        {
+            if (!other.isLost)
+                node.state.currentAt = std::max(node.state.currentAt, other.state.currentAt - age);
+        }
+
+        std::vector<node> m_nodes;
+        int m_requestsPerSecond;
+        watch_terms m_terms;
+        std::mt19937_64 m_random { 20261204 };
+    };
+
+    // Guards against calls to the store that grow with the nodes (iarc-mesh-grown quiet-1: 84 nodes, 4,851 calls).
+    TEST(WatchScheduleTest, CallsDoNotGrowWithTheNodes)
+    {
+        for (const std::size_t nodes : { 14, 84, 690 }) {
+            watching_fleet fleet(nodes, 20);
+            fleet.run(seconds(30));
+            const auto readers = static_cast<int>(fleet_place { 0, nodes }.readers());
+            EXPECT_LE(fleet.calls, 30 * readers * 2) << nodes;
+            EXPECT_LE(fleet.questions, 30 * static_cast<int>(nodes) * 2) << nodes;
+            EXPECT_LE(fleet.oldest(), milliseconds(2000)) << nodes;
+        }
+    }
+
+    // Pattern "the readers are gone": a change has to be known to all nodes within two seconds all the same.
+    TEST(WatchScheduleTest, LossOfTheReadersLeavesNobodyBehind)
+    {
+        watching_fleet fleet(84, 20);
+        fleet.run(seconds(10));
+        fleet.lose(0);
+        fleet.lose(1);
+        for (int i = 0; i < 200; ++i) {
+            fleet.run(milliseconds(50));
+            EXPECT_LE(fleet.oldest(), milliseconds(2000));
+        }
+        EXPECT_LE(fleet.calls, 20 * 84 / 2);
+    }
+
+    // Pattern "no traffic at night": nodes that hear nothing still follow the table.
+    TEST(WatchScheduleTest, NodesWithoutRequestsAskTheStore)
+    {
+        watching_fleet fleet(14, 0);
+        for (int i = 0; i < 100; ++i) {
+            fleet.run(milliseconds(50));
+            EXPECT_LE(fleet.oldest(), milliseconds(2000));
+        }
+    }
+
+    // Pattern "the store refuses a third of the nodes, the readers first": the others tell them.
+    TEST(WatchScheduleTest, NodesThatAreCutFromTheStoreLearnFromTheOthers)
+    {
+        watching_fleet fleet(84, 20);
+        fleet.run(seconds(5));
+        fleet.cutFromStore(0, 28, true);
+        for (int i = 0; i < 180; ++i) {
+            fleet.run(milliseconds(50));
+            EXPECT_LE(fleet.oldest(), milliseconds(2200));
+        }
+    }
+
+    // Guards against a fleet that floods the store during an outage, and that notices its end late.
+    TEST(WatchScheduleTest, OutageEndsSoonWithFewCalls)
+    {
+        watching_fleet fleet(84, 20);
+        fleet.run(seconds(5));
+        fleet.cutFromStore(0, 84, true);
+        const int before = fleet.calls;
+        fleet.run(milliseconds(4500));
+        EXPECT_LE(fleet.calls - before, 84 * 3);
+        fleet.cutFromStore(0, 84, false);
+        fleet.run(milliseconds(2000));
+        EXPECT_LE(fleet.oldest(), milliseconds(2000));
+    }
+
+} // namespace
+} // namespace heatherdrift
