--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -5,7 +5,7 @@
 #include "mesh/internal/answer_sender.h"
 #include "mesh/internal/entry_service.h"
 #include "mesh/internal/gate_service.h"
-#include "mesh/internal/mesh_directory.h"
+#include "mesh/internal/member_registry.h"
 #include "mesh/internal/mesh_metrics.h"
 #include "mesh/internal/owner_council.h"
 #include "mesh/internal/ownership.h"
@@ -22,9 +22,6 @@
 
 namespace {
 
-    constexpr const char* memberTable = "heatherdrift-members"; ///< Keys are instances.
-    /// Row of the member table that changes with each removal of another one, as table_copy needs it.
-    constexpr const char* lastRemovalKey = "*last-removal";
     constexpr const char* rangeTable = "heatherdrift-ranges"; ///< Keys are services.
     /// A configuration has to be in force within two seconds, also of the loss of the nodes that ask for it.
     constexpr watch_terms configurationTerms {};
@@ -35,9 +32,6 @@
     /// second.
     constexpr watch_terms rangeTerms { std::chrono::seconds(20), std::chrono::seconds(15), {}, {},
         std::chrono::milliseconds(1500) };
-    constexpr auto memberWriteTimeout = std::chrono::milliseconds(1500);
-    constexpr auto memberWriteBackoff = std::chrono::milliseconds(300);
-    constexpr auto firstHeartbeatPatience = std::chrono::seconds(3); ///< Three intervals of usual heartbeats.
     constexpr auto recentLoad = std::chrono::seconds(2); ///< Older loads say nothing of a hot key's place.
     constexpr auto stopPollInterval = std::chrono::milliseconds(50);
     /// Callers see after two missed readiness checks, a second apart, that this node takes no more.
@@ -85,14 +79,15 @@
                       [this] { return m_ownership.isStoreAvailable(); } })
             , m_announcements(
                   base, m_settings, m_port, m_gate, m_ownership, [this] { return isPartitioned(); },
-                  [this] { publish(); })
+                  [this] { m_registry.publish(); })
+            , m_registry(base, m_settings, *m_store, m_directory, m_gate, m_ownership, m_announcements)
             , m_entry({ base, m_settings, m_port, m_routes, m_directory, m_gate, &m_metrics,
                   [this](const std::string& service) { return findMap(service); },
                   [this](const std::string& service) {
                       if (service != m_settings.service)
                           m_replicas.refresh(service, boot_clock::now());
                   },
-                  [this](const instance_id& node) { nodeReplaced(node); },
+                  [this](const instance_id& node) { m_registry.nodeReplaced(node); },
                   [this](const instance_id& node) { m_watch.probe(node); },
                   [this](const std::string& service, const instance_id& node, row_version version) {
                       if (service != m_settings.service)
@@ -103,8 +98,8 @@
                   } })
             , m_replicas(m_directory)
             , m_watch(base, m_settings, m_directory,
-                  { [this](const instance_id& node) { nodeReplaced(node); },
-                      [this](const instance_id& node) { removeLost(node); },
+                  { [this](const instance_id& node) { m_registry.nodeReplaced(node); },
+                      [this](const instance_id& node) { m_registry.removeLost(node); },
                       [this] { return isPartitioned() && m_balancer.needsLoads(); },
                       [this](const instance_id& node, const known_tables& tables, time_point askedAt) {
                           m_tables.notice(node, tables, askedAt);
@@ -114,12 +109,8 @@
             , m_configurationWatcher(base, *m_store, m_port.configurationRow.table, configurationTerms,
                   { [this](const row_change& row) { configurationChanged(row); }, nullptr, nullptr,
                       [this] { return m_tables.place(); }, m_random })
-            , m_memberWatcher(base, *m_store, memberTable, memberTerms,
-                  { [this](const row_change& row) { memberChanged(row); },
-                      [this] {
-                          m_areMembersRead = true;
-                          publish();
-                      },
+            , m_memberWatcher(base, *m_store, member_registry::table, memberTerms,
+                  { [this](const row_change& row) { m_registry.rowChanged(row); }, [this] { m_registry.tableRead(); },
                       [](bool isAvailable) {
                           logEvent(isAvailable ? log_event::store_available : log_event::store_unavailable);
                       },
@@ -129,7 +120,6 @@
                       [] { return fleet_place(); }, m_random })
             , m_tables(base, m_settings, m_directory, m_configurationWatcher, m_memberWatcher,
                   { [this](const instance_id& node) { m_watch.probe(node); } })
-            , m_publishRetry(base, [this] { publish(); })
             , m_stopPoll(base, [this] { stopIfDone(); })
         {
         }
@@ -211,7 +201,7 @@
         {
             const auto now = boot_clock::now();
             std::vector<owner_candidate> out;
-            if (!isPartitioned() || !m_areMembersRead)
+            if (!isPartitioned() || !m_registry.isRead())
                 return out;
             for (const auto* peer : m_directory.available(m_settings.service, now)) {
                 const bool isSelf = peer->member.node == m_settings.node;
@@ -252,88 +242,6 @@
                 m_ownership.rowChanged(row);
         }
 
-        void memberChanged(const row_change& row)
-        {
-            const instance_id& node = row.key.key;
-            if (node == lastRemovalKey)
-                return;
-            if (node == m_settings.node)
-                return ownRowChanged(row);
-            if (!row.value)
-                return m_directory.remove(node);
-            const auto member = parseMember(*row.value);
-            if (member.has_error() || member.value().node != node) {
-                const auto reason = member.has_error() ? member.error().message : "names another node";
-                logEvent(log_event::peer_message_rejected, { { "target", node }, { "reason", reason } });
-                return;
-            }
-            if (const auto* other = m_directory.findAddress(member.value().address);
-                other && other->member.node != node && row.version > other->rowVersion)
-                nodeReplaced(instance_id(other->member.node));
-            logEvent(log_event::member_changed,
-                { { "node", node }, { "life", member.value().life },
-                    { "draining", member.value().isDraining ? "yes" : "no" },
-                    { "row_version", std::to_string(row.version) } });
-            m_directory.update(member.value(), boot_clock::now());
-            m_directory.setRowVersion(node, row.version);
-        }
-
-        /// Until the first heartbeat, the row of an earlier process tells of the backend server. If it is another one
-        /// by now, it refuses what is sent to it.
-        void presume(const row_change& row)
-        {
-            if (!row.value || m_gate.backend().life != life_name())
-                return;
-            const auto member = parseMember(*row.value);
-            if (member.has_error() || member.value().life.empty() || member.value().isDraining
-                || member.value().service != m_settings.service)
-                return;
-            m_gate.setBackend({ member.value().life, member.value().backendId, member.value().slots });
-            m_ownership.presumeLife(member.value().life);
-            m_directory.update(member.value(), boot_clock::now());
-        }
-
-        /// Another node takes this one for lost, or an earlier process wrote the row: it is written anew.
-        void ownRowChanged(const row_change& row)
-        {
-            if (!m_announcements.current())
-                return presume(row);
-            if (row.value && *row.value == toJson(ownMember()))
-                return;
-            const auto member = row.value ? parseMember(*row.value) : notRun(error_code::not_found, "removed");
-            if (member.has_value() && startOf(member.value().life) < m_announcements.current()->startedAt)
-                m_ownership.predecessorEnded(member.value().life);
-            m_published.reset();
-            publish();
-        }
-
-        /// Another node listens at the node's address, so that its instance and its backend server are gone.
-        void nodeReplaced(const instance_id& node)
-        {
-            const auto* peer = m_directory.find(node);
-            if (!peer || node == m_settings.node)
-                return;
-            if (peer->member.service == m_settings.service && !peer->member.life.empty())
-                m_ownership.otherEnded(peer->member.life);
-            removeLost(node);
-        }
-
-        void removeLost(const instance_id& node)
-        {
-            logEvent(log_event::member_removed, { { "node", node } });
-            conditional_write change;
-            change.changes.push_back({ { memberTable, node }, 0, std::nullopt });
-            change.changes.push_back({ { memberTable, lastRemovalKey }, 0, node });
-            m_directory.remove(node);
-            m_store->write(std::move(change), boot_clock::now() + memberWriteTimeout,
-                [node](const result<write_outcome>& outcome) {
-                    // A row that was not removed comes back with the next read of the table.
-                    if (outcome.has_error())
-                        logEvent(
-                            log_event::member_not_removed, { { "node", node }, { "reason", outcome.error().message } });
-                });
-        }
-
         void startOwnershipIfDue()
         {
             if (!isPartitioned() || std::exchange(m_isOwnershipStarted, true))
@@ -343,54 +251,11 @@
             m_balancer.start();
         }
 
-        mesh_member ownMember() const
-        {
-            mesh_member member;
-            member.node = m_settings.node;
-            member.zone = m_settings.zone;
-            member.address = m_settings.forward;
-            member.service = m_settings.service;
-            if (const auto& current = m_announcements.current(); current && !m_announcements.hasEnded()) {
-                member.life = current->life();
-                member.backendId = current->id;
-                member.slots = current->slots;
-                member.isDraining = m_announcements.isLeaving();
-            }
-            return member;
-        }
-
-        /// Writes this node's row if it differs from the one that was written last.
-        void publish()
-        {
-            // The row of an earlier process stands for a backend server that may live; it is replaced when the first
-            // heartbeat tells which one does, or does not come.
-            if (!m_announcements.current() && boot_clock::now() < m_announcesAt)
-                return m_publishRetry.startAt(m_announcesAt);
-            const auto member = ownMember();
-            m_directory.update(member, boot_clock::now());
-            // The row of an earlier process names the life whose keys the present one takes over.
-            if (!m_areMembersRead || m_isPublishing || m_published == member)
-                return;
-            m_isPublishing = true;
-            conditional_write change;
-            change.changes.push_back({ { memberTable, m_settings.node }, 0, toJson(member) });
-            m_store->write(std::move(change), boot_clock::now() + memberWriteTimeout,
-                [this, member](const result<write_outcome>& outcome) {
-                    m_isPublishing = false;
-                    if (outcome.has_error()) {
-                        m_publishRetry.startOnce(memberWriteBackoff);
-                        return;
-                    }
-                    m_published = member;
-                    publish();
-                });
-        }
-
         void handleReadiness(const http_exchange_ptr& exchange)
         {
             if (exchange->request().target != m_port.readinessPath)
                 return exchange->respond({ { statusNotFound, {} }, "" });
-            const bool isReady = m_routes.version() > 0 && m_areMembersRead && !m_isStopping;
+            const bool isReady = m_routes.version() > 0 && m_registry.isRead() && !m_isStopping;
             exchange->respond({ { isReady ? 200 : 503, {} }, "" });
         }
 
@@ -487,6 +352,7 @@
         ownership m_ownership;
         range_balancer m_balancer;
         announcement_service m_announcements;
+        member_registry m_registry;
         entry_service m_entry;
         range_replicas m_replicas;
         peer_watch m_watch;
@@ -496,12 +362,7 @@
         table_watcher m_memberWatcher;
         table_watcher m_rangeWatcher; ///< Runs only if the service of this node is partitioned.
         table_exchange m_tables;
-        bool m_areMembersRead = false;
         bool m_isOwnershipStarted = false;
-        std::optional<mesh_member> m_published;
-        bool m_isPublishing = false;
-        time_point m_announcesAt = boot_clock::now() + firstHeartbeatPatience;
-        timer m_publishRetry;
         bool m_isStopping = false;
         time_point m_closesGateAt {};
         time_point m_endsAt {};
