Ask for the tables a little sooner

Cause: the bound of the schedule's test for nodes that are cut from the store had been set at 2.2 s; with the stated 2 s it failed (2.02 s). Nodes now ask a reader after 1.05 s and the store after 1.45 s.

--- a/src/mesh/internal/table_exchange.cpp
+++ b/src/mesh/internal/table_exchange.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     constexpr auto fetchTimeout = std::chrono::milliseconds(300); ///< A slower node is not worth waiting for.
-    constexpr auto tickInterval = std::chrono::milliseconds(300); ///< Of nodes whose requests tell them nothing.
+    constexpr auto tickInterval = std::chrono::milliseconds(200); ///< Of nodes whose requests tell them nothing.
     constexpr std::size_t answerLimitBytes = 4u << 20;
     constexpr const char* tableHeader = "heatherdrift-table";
     constexpr const char* afterHeader = "heatherdrift-after";
--- a/src/mesh/internal/watch_schedule.h
+++ b/src/mesh/internal/watch_schedule.h
@@ -21,9 +21,9 @@
 struct watch_terms {
     duration readerWait = std::chrono::milliseconds(1000); ///< How long a reader's question waits for a change.
     duration batchTime {}; ///< Changes that follow each other within this time share one question.
-    duration patience = std::chrono::milliseconds(1600); ///< Age of knowledge at which any node asks the store.
+    duration patience = std::chrono::milliseconds(1450); ///< Age of knowledge at which any node asks the store.
     /// Age of knowledge at which a node asks a reader, which costs less than a call to the store.
-    duration readerPatience = std::chrono::milliseconds(1150);
+    duration readerPatience = std::chrono::milliseconds(1050);
     duration readTimeout = std::chrono::milliseconds(700); ///< Of a question that does not wait for a change.
 
     bool operator==(const watch_terms&) const = default;
--- a/src/mesh/tests/watch_schedule_test.cpp
+++ b/src/mesh/tests/watch_schedule_test.cpp
@@ -80,7 +80,7 @@
             if (node.isAsking && now >= node.answerAt)
                 answer(node);
             if (asksReader(m_terms, node.state, now) && now >= node.mayAskReaderAt) {
-                node.mayAskReaderAt = now + milliseconds(300);
+                node.mayAskReaderAt = now + milliseconds(200);
                 const auto readers = static_cast<double>(node.state.place.readers());
                 hear(node, m_nodes[static_cast<std::size_t>(random() * readers)], milliseconds(5));
                 ++questions;
@@ -115,6 +115,15 @@
         std::mt19937_64 m_random { 20261204 };
     };
 
+    /// No node's knowledge is older than a configuration may take to be in force.
+    void expectCurrent(watching_fleet& fleet, duration length)
+    {
+        for (const auto end = fleet.now + length; fleet.now < end;) {
+            fleet.run(milliseconds(50));
+            EXPECT_LE(fleet.oldest(), milliseconds(2000));
+        }
+    }
+
     // Guards against calls to the store that grow with the nodes (iarc-mesh-grown quiet-1: 84 nodes, 4,851 calls).
     TEST(WatchScheduleTest, CallsDoNotGrowWithTheNodes)
     {
@@ -135,10 +144,7 @@
         fleet.run(seconds(10));
         fleet.lose(0);
         fleet.lose(1);
-        for (int i = 0; i < 200; ++i) {
-            fleet.run(milliseconds(50));
-            EXPECT_LE(fleet.oldest(), milliseconds(2000));
-        }
+        expectCurrent(fleet, seconds(10));
         EXPECT_LE(fleet.calls, 20 * 84 / 2);
     }
 
@@ -146,10 +152,7 @@
     TEST(WatchScheduleTest, NodesWithoutRequestsAskTheStore)
     {
         watching_fleet fleet(14, 0);
-        for (int i = 0; i < 100; ++i) {
-            fleet.run(milliseconds(50));
-            EXPECT_LE(fleet.oldest(), milliseconds(2000));
-        }
+        expectCurrent(fleet, seconds(5));
     }
 
     // Pattern "the store refuses a third of the nodes, the readers first": the others tell them.
@@ -158,10 +161,7 @@
         watching_fleet fleet(84, 20);
         fleet.run(seconds(5));
         fleet.cutFromStore(0, 28, true);
-        for (int i = 0; i < 180; ++i) {
-            fleet.run(milliseconds(50));
-            EXPECT_LE(fleet.oldest(), milliseconds(2200));
-        }
+        expectCurrent(fleet, seconds(9));
     }
 
     // Guards against a fleet that floods the store during an outage, and that notices its end late.
