--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -320,13 +320,6 @@
     return map_statement::promised;
 }
 
-/// Owners that promised a holder not to take its keys over count it as alive meanwhile.
-bool ownership::isPromised(const life_name& holder, time_point now) const
-{
-    const auto found = m_promisedUntil.find(holder);
-    return found != m_promisedUntil.end() && now < found->second;
-}
-
 void ownership::failed(const failure& reason)
 {
     if (reason.outcome != verdict::not_run)
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -105,7 +105,6 @@
     /// How long ago the present map was current in the store, if that is recent enough to be passed on.
     std::optional<duration> recentlyChecked() const;
     map_statement promise(const life_name& holder);
-    bool isPromised(const life_name& holder, time_point now) const;
     void failed(const failure&);
     void logGrant(const hold_grant&, std::size_t before, time_point receivedAt) const;
     void logMap(const range_map&, row_version, bool isOwnCall) const;
