--- a/src/control/internal/control_node.cpp
+++ b/src/control/internal/control_node.cpp
@@ -428,7 +428,8 @@
         return status;
     const auto now = m_ports.now();
     status.hasLease = m_parts->lease.isValid(now);
-    status.leaseRemaining = std::max(m_parts->lease.validUntil() - now, duration::zero());
+    // A lease that has ended for good is valid until the least time there is, from which nothing can be subtracted.
+    status.leaseRemaining = std::max(m_parts->lease.validUntil(), now) - now;
     status.witnesses = m_parts->lease.witnesses();
     status.movesInProgress = m_parts->moves.size();
     status.takeoversInProgress = m_parts->takeovers.size();
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -287,8 +287,10 @@
 
 std::optional<duration> ownership::recentlyChecked() const
 {
+    if (m_checkedAt == time_point::min() || m_checkedVersion != m_version)
+        return std::nullopt;
     const auto age = m_hooks.now() - m_checkedAt;
-    return m_checkedVersion == m_version && age <= recentCheck ? std::optional<duration>(age) : std::nullopt;
+    return age <= recentCheck ? std::optional<duration>(age) : std::nullopt;
 }
 
 void ownership::confirmFor(const life_name& holder, row_version version, statement_function done)
