Let timers fire at once for the least time

In the optimised build the wrapped delay was a far time, so that the timer for the end of a fenced lease did not fire; calls were refused all the same by the check of the lease at their start.

--- a/src/base/internal/event_handle.cpp
+++ b/src/base/internal/event_handle.cpp
@@ -31,7 +31,12 @@
     event_add(m_event.get(), &value);
 }
 
-void timer::startAt(time_point when) { startOnce(when - boot_clock::now()); }
+void timer::startAt(time_point when)
+{
+    // The least time stands for "never valid" in leases; nothing can be subtracted from it.
+    const auto now = boot_clock::now();
+    startOnce(when > now ? when - now : duration::zero());
+}
 
 void timer::startRepeating(duration interval)
 {
