Log the transfers of tables and the cost of applying a configuration

The incident of 404 answers after a large configuration has four hypotheses (docs/incidents/large-configuration.md) that the logs cannot tell apart: configuration_applied bears the version alone, and neither reads from the store nor fetches from other nodes are logged.

Each fetch and read now logs its table, source, duration, bytes or reason, and the attempt; configuration_applied adds the document's size, the number of routes and the time to decode and apply it. No behaviour changes.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <functional>
+#include <string>
 
 namespace heatherdrift {
 
@@ -18,6 +19,9 @@
 using time_point = boot_clock::time_point;
 using duration = boot_clock::duration;
 
+/// Whole milliseconds as decimal digits, for log lines.
+std::string millisecondsText(duration);
+
 /// Source of the current time; tests pass their own.
 using clock_function = std::function<time_point()>;
 
--- a/src/base/internal/clock.cpp
+++ b/src/base/internal/clock.cpp
@@ -12,4 +12,9 @@
         + std::chrono::duration_cast<duration>(std::chrono::nanoseconds(value.tv_nsec)));
 }
 
+std::string millisecondsText(duration value)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 } // namespace heatherdrift
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -21,11 +21,6 @@
     constexpr int statusUnavailable = 503;
     constexpr int statusTimeout = 504;
 
-    std::string milliseconds(duration value)
-    {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-    }
-
     bool isConnectionFailure(error_code reason)
     {
         return reason == error_code::connection_failed || reason == error_code::connection_refused
@@ -210,7 +205,7 @@
         m_attemptLog.append(std::to_string(answer.response.head.status));
     else
         m_attemptLog.append(toString(answer.outcome)).append("/").append(toString(answer.reason));
-    m_attemptLog.append(":").append(milliseconds(now - m_attempt->startedAt));
+    m_attemptLog.append(":").append(millisecondsText(now - m_attempt->startedAt));
     m_attempt.reset();
     if (answer.reachedBackend)
         ++m_backendAttempts;
@@ -294,8 +289,8 @@
     logEvent(event,
         { { "request", m_request.id }, { "reason", std::string(reason) }, { "route", m_request.route },
             { "service", m_request.service }, { "key", m_request.key ? std::to_string(*m_request.key) : "" },
-            { "attempts", m_attemptLog }, { "age_ms", milliseconds(now - m_receivedAt) },
-            { "left_ms", milliseconds(m_request.deadline - now) },
+            { "attempts", m_attemptLog }, { "age_ms", millisecondsText(now - m_receivedAt) },
+            { "left_ms", millisecondsText(m_request.deadline - now) },
             { "configuration", std::to_string(m_context.routes.version()) } });
 }
 
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -224,6 +224,7 @@
         {
             if (row.key != m_port.configurationRow || !row.value)
                 return;
+            const auto startedAt = boot_clock::now();
             auto configuration = m_port.decodeConfiguration(*row.value);
             if (configuration.has_error()) {
                 logEvent(log_event::configuration_rejected, { { "reason", configuration.error().message } });
@@ -233,7 +234,11 @@
             if (!m_routes.apply(std::move(configuration).value()))
                 return;
             m_metrics.configurationApplied(version);
-            logEvent(log_event::configuration_applied, { { "version", std::to_string(version) } });
+            logEvent(log_event::configuration_applied,
+                { { "version", std::to_string(version) }, { "row_version", std::to_string(row.version) },
+                    { "bytes", std::to_string(row.value->size()) },
+                    { "routes", std::to_string(m_routes.configuration().routes.size()) },
+                    { "apply_ms", millisecondsText(boot_clock::now() - startedAt) } });
             const auto& limits = m_routes.configuration().limits;
             const auto idle = std::chrono::duration_cast<std::chrono::seconds>(limits.idleTimeout).count();
             m_entryServer->setLimits(
--- a/src/mesh/internal/ownership_log.cpp
+++ b/src/mesh/internal/ownership_log.cpp
@@ -7,17 +7,14 @@
 
 void ownership::logGrant(const hold_grant& grant, std::size_t before, time_point receivedAt) const
 {
-    const auto milliseconds = [](duration value) {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-    };
     const bool isUnusual = grant.isValid ? grant.ranges.size() != before : m_map.hasOwner(m_holdManager.life());
     if (!isUnusual)
         return;
     logEvent(grant.isValid ? log_event::holds_renewed : log_event::holds_not_renewed,
         { { "life", m_holdManager.life() }, { "ranges", std::to_string(grant.ranges.size()) },
-            { "ranges_before", std::to_string(before) }, { "hold_ms", milliseconds(grant.hold) },
+            { "ranges_before", std::to_string(before) }, { "hold_ms", millisecondsText(grant.hold) },
             { "map_version", std::to_string(m_version) },
-            { "map_confirmed_ms_ago", milliseconds(receivedAt - m_holdManager.confirmedAt()) } });
+            { "map_confirmed_ms_ago", millisecondsText(receivedAt - m_holdManager.confirmedAt()) } });
 }
 
 void ownership::logMap(const range_map& map, row_version version, bool isOwnCall) const
--- a/src/mesh/internal/table_exchange.cpp
+++ b/src/mesh/internal/table_exchange.cpp
@@ -132,12 +132,26 @@
     request.headers.add(targetNodeHeader, node);
     request.headers.add(tableHeader, table.table());
     request.headers.add(afterHeader, std::to_string(table.copy().newestChange()));
-    fetch(m_directory.client(node), std::move(request), boot_clock::now() + fetchTimeout, answerLimitBytes,
-        [this, &table, node](const result<http_response>& answer) {
+    const auto startedAt = boot_clock::now();
+    const int attempt = ++m_attempts[table.table()];
+    fetch(m_directory.client(node), std::move(request), startedAt + fetchTimeout, answerLimitBytes,
+        [this, &table, node, startedAt, attempt](const result<http_response>& answer) {
             m_fetching.erase(table.table());
+            const auto elapsed = millisecondsText(boot_clock::now() - startedAt);
             // After a failure, the next response of a node with newer rows starts another fetch.
-            if (answer.has_error() || answer.value().head.status != 200)
+            if (answer.has_error() || answer.value().head.status != 200) {
+                logEvent(log_event::table_fetch_failed,
+                    { { "table", table.table() }, { "node", node }, { "ms", elapsed },
+                        { "attempt", std::to_string(attempt) },
+                        { "reason",
+                            answer.has_error() ? answer.error().message
+                                               : "status " + std::to_string(answer.value().head.status) } });
                 return;
+            }
+            m_attempts.erase(table.table());
+            logEvent(log_event::table_fetched,
+                { { "table", table.table() }, { "node", node }, { "ms", elapsed },
+                    { "attempt", std::to_string(attempt) }, { "bytes", std::to_string(answer.value().body.size()) } });
             const auto update = decodeUpdate(answer.value().body);
             if (update.has_error()) {
                 logEvent(
--- a/src/mesh/internal/table_exchange.h
+++ b/src/mesh/internal/table_exchange.h
@@ -41,6 +41,7 @@
     table_watcher& m_members;
     table_exchange_hooks m_hooks;
     std::set<std::string> m_fetching; ///< Tables whose changes are being fetched.
+    std::map<std::string, int> m_attempts; ///< Fetches of a table since the last successful one.
     std::size_t m_nextReader; ///< Starts at a different reader on each node, to spread the requests.
     timer m_tick;
 };
--- a/src/mesh/internal/table_watcher.cpp
+++ b/src/mesh/internal/table_watcher.cpp
@@ -1,5 +1,7 @@
 #include "mesh/internal/table_watcher.h"
 
+#include "telemetry/log_event.h"
+
 #include <algorithm>
 
 namespace heatherdrift {
@@ -52,6 +54,7 @@
 {
     const auto now = boot_clock::now();
     m_store.read(m_table, now + m_timing.readTimeout, [this, now](const result<row_snapshot>& snapshot) {
+        logAnswer(now, snapshot);
         if (snapshot.has_error())
             return handleFailure(snapshot.error());
         // An outdated response must not undo newer changes.
@@ -73,6 +76,7 @@
     const auto slack = std::max<duration>(watchSlack, m_timing.readTimeout - wait);
     m_store.watch(
         m_table, m_copy.version(), wait, now + wait + slack, [this, wait, now](const result<row_snapshot>& changes) {
+            logAnswer(now, changes);
             if (changes.has_error())
                 return handleFailure(changes.error());
             const bool hasChanges = !changes.value().rows.empty();
@@ -103,6 +107,23 @@
     schedule();
 }
 
+void table_watcher::logAnswer(time_point askedAt, const result<row_snapshot>& answer) const
+{
+    const auto elapsed = millisecondsText(boot_clock::now() - askedAt);
+    if (answer.has_error())
+        return logEvent(log_event::table_read_failed,
+            { { "table", m_table }, { "ms", elapsed }, { "reason", answer.error().message } });
+    // Answers without changes are the usual case and say nothing.
+    if (answer.value().rows.empty())
+        return;
+    std::size_t bytes = 0;
+    for (const auto& row : answer.value().rows)
+        bytes += row.value ? row.value->size() : 0;
+    logEvent(log_event::table_read,
+        { { "table", m_table }, { "ms", elapsed }, { "rows", std::to_string(answer.value().rows.size()) },
+            { "bytes", std::to_string(bytes) }, { "version", std::to_string(answer.value().version) } });
+}
+
 bool table_watcher::needsReader(time_point now) const { return m_isRead && isReaderRequestDue(m_timing, state(), now); }
 
 void table_watcher::notifyRows(const std::vector<row_change>& changes)
--- a/src/mesh/internal/table_watcher.h
+++ b/src/mesh/internal/table_watcher.h
@@ -43,6 +43,7 @@
     void watch(duration wait);
     void handleAnswer(bool hasChanges, time_point currentAt);
     void handleFailure(const failure&);
+    void logAnswer(time_point askedAt, const result<row_snapshot>&) const;
     void notifyRows(const std::vector<row_change>&);
     void setAvailable(bool);
     watch_state state() const;
