Bound transfers of state by their progress instead of a fixed time

A configuration travels in one response. A fetch from another node had 300 ms in all and a read from the store 700 ms; what had arrived by then was discarded, and the next attempt began again. A document of some hundred KB does not fit into that time on a link of 12 to 17 Mbit/s that also carries clients' answers. The class of fault: a fixed time for a transfer whose size is not bounded.

fetchWithProgress() fails when the head or the next part of the answer does not arrive in time, and after an overall deadline, which bounds a peer that trickles; its message has the bytes received. Fetches of tables and of range maps, pushed range maps and reads and watches of the store use it; the deadlines of reads and watches are now those for the beginning of the answer. Writes keep their deadline. The progress of a request body is not visible to the client, so a push gets time for its size on a slow link.

The limits of 4 MB per answer were a cliff: a larger document never arrived. They are now one limit, a sixteenth of an instance's memory (16 MB).

ProgressFetchTest covers the new function with raw peers; it has no counterpart on the old code.

--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -70,6 +70,8 @@
     /// Connections opened so far.
     virtual std::uint64_t openedCount() const = 0;
     virtual const endpoint& server() const = 0;
+    /// Event loop on which the handlers are called.
+    virtual event_base* base() const = 0;
 };
 
 /// Sends a request and collects the whole answer. A body above the limit fails with `too_large`, may_have_run.
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -141,6 +141,7 @@
         void setMaximumConnections(int count) override { m_options.maximumConnections = count; }
         std::uint64_t openedCount() const override { return m_opened; }
         const endpoint& server() const override { return m_server; }
+        event_base* base() const override { return m_base; }
 
         /// Takes a connection back. One whose call did not end cleanly is closed, so that a late answer has nowhere to
         /// go.
--- a/src/mesh/internal/owner_exchange.cpp
+++ b/src/mesh/internal/owner_exchange.cpp
@@ -1,5 +1,6 @@
 #include "mesh/internal/owner_exchange.h"
 
+#include "mesh/internal/peer_transfer.h"
 #include "mesh/internal/range_replicas.h"
 
 #include <algorithm>
@@ -15,8 +16,6 @@
     constexpr const char* statementHeader = "heatherdrift-map-statement";
     /// Longer than the timeout of the asked owner's own check at the store.
     constexpr auto answerTimeout = std::chrono::milliseconds(1200);
-    constexpr auto pushTimeout = std::chrono::milliseconds(300);
-    constexpr std::size_t answerLimitBytes = 4u << 20;
 
     const char* nameOf(map_statement statement)
     {
@@ -85,7 +84,9 @@
     request.headers.add(targetNodeHeader, node);
     request.headers.add(holderHeader, m_ownership.life());
     request.headers.add(versionHeader, std::to_string(round->version));
-    fetch(m_directory.client(node), std::move(request), round->askedAt + answerTimeout, answerLimitBytes,
+    auto limits = peerTransferLimits();
+    limits.headBy = round->askedAt + answerTimeout;
+    fetchWithProgress(m_directory.client(node), std::move(request), limits,
         [this, round](const result<http_response>& answer) { handleAnswer(round, answer); });
 }
 
@@ -115,8 +116,8 @@
         if (!peer || peer->member.node == m_settings.node)
             continue;
         http_request request { "PUT", range_replicas::target, { { targetNodeHeader, peer->member.node } }, body };
-        fetch(m_directory.client(peer->member.node), std::move(request), boot_clock::now() + pushTimeout,
-            answerLimitBytes, [](const result<http_response>&) {
+        fetchWithProgress(m_directory.client(peer->member.node), std::move(request), peerTransferLimits(body.size()),
+            [](const result<http_response>&) {
                 // A node that missed the push gets the map from its next check or from its watch of the table.
             });
     }
--- /dev/null
+++ b/src/mesh/internal/peer_transfer.cpp
@@ -0,0 +1,25 @@
+#include "mesh/internal/peer_transfer.h"
+
+#include "store/table_limits.h"
+
+namespace heatherdrift {
+
+namespace {
+
+    /// A reachable node responds within milliseconds; the kernel repeats a lost packet after 200 ms.
+    constexpr auto stallTime = std::chrono::milliseconds(400);
+    constexpr auto maxTransferTime = std::chrono::seconds(10);
+    /// Share of a link of 12 Mbit/s that is left beside the clients' answers.
+    constexpr std::size_t slowestBytesPerSecond = 128 * 1024;
+
+} // namespace
+
+transfer_limits peerTransferLimits(std::size_t requestBytes)
+{
+    const auto now = boot_clock::now();
+    const std::chrono::duration<double> sendTime(static_cast<double>(requestBytes) / slowestBytesPerSecond);
+    return { now + stallTime + std::chrono::duration_cast<duration>(sendTime), stallTime, now + maxTransferTime,
+        maxTableBytes };
+}
+
+} // namespace heatherdrift
--- a/src/mesh/internal/range_replicas.cpp
+++ b/src/mesh/internal/range_replicas.cpp
@@ -2,14 +2,13 @@
 
 #include "base/hash.h"
 #include "base/json_reader.h"
+#include "mesh/internal/peer_transfer.h"
 
 namespace heatherdrift {
 
 namespace {
 
-    constexpr auto fetchTimeout = std::chrono::milliseconds(300); ///< Another node is asked instead of waiting longer.
     constexpr auto refreshInterval = std::chrono::milliseconds(200); ///< Limits the requests while keys have no owner.
-    constexpr std::size_t answerLimitBytes = 4u << 20;
 
 } // namespace
 
@@ -72,7 +71,7 @@
     http_request request;
     request.target = target;
     request.headers.add(targetNodeHeader, node);
-    fetch(m_directory.client(node), std::move(request), boot_clock::now() + fetchTimeout, answerLimitBytes,
+    fetchWithProgress(m_directory.client(node), std::move(request), peerTransferLimits(),
         [this, service](const result<http_response>& answer) {
             m_fetching.erase(service);
             if (answer.has_error() || answer.value().head.status != 200)
--- a/src/mesh/internal/table_exchange.cpp
+++ b/src/mesh/internal/table_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/json_reader.h"
+#include "mesh/internal/peer_transfer.h"
 #include "telemetry/log_event.h"
 
 #include <charconv>
@@ -10,11 +11,8 @@
 
 namespace {
 
-    /// Later responses are not awaited; any further response triggers a new fetch.
-    constexpr auto fetchTimeout = std::chrono::milliseconds(300);
     /// Check interval for nodes that get no table state with their requests.
     constexpr auto tickInterval = std::chrono::milliseconds(200);
-    constexpr std::size_t answerLimitBytes = 4u << 20;
     constexpr const char* tableHeader = "heatherdrift-table";
     constexpr const char* afterHeader = "heatherdrift-after";
     constexpr int statusNotFound = 404;
@@ -134,7 +132,7 @@
     request.headers.add(afterHeader, std::to_string(table.copy().newestChange()));
     const auto startedAt = boot_clock::now();
     const int attempt = ++m_attempts[table.table()];
-    fetch(m_directory.client(node), std::move(request), startedAt + fetchTimeout, answerLimitBytes,
+    fetchWithProgress(m_directory.client(node), std::move(request), peerTransferLimits(),
         [this, &table, node, startedAt, attempt](const result<http_response>& answer) {
             m_fetching.erase(table.table());
             const auto elapsed = millisecondsText(boot_clock::now() - startedAt);
--- a/src/mesh/tests/table_exchange_test.cpp
+++ b/src/mesh/tests/table_exchange_test.cpp
@@ -1,3 +1,4 @@
+#include "http/tests/slow_answer.h"
 #include "http/tests/test_loop.h"
 #include "mesh/internal/table_exchange.h"
 
@@ -97,6 +98,29 @@
         EXPECT_EQ(askingNode.seen.back(), row(9));
     }
 
+    // Guards against discarding a large table that arrives slowly: over links of 12 to 17 Mbit/s, nodes requested a
+    // configuration again and again and handled requests by the replaced one.
+    TEST_F(TableExchangeTest, SlowTransferThatMakesProgressIsCompleted)
+    {
+        constexpr std::size_t maxAttempts = 10;
+        std::vector<std::unique_ptr<slow_answer>> answers;
+        auto slow = loop.listen([&](http_exchange_ptr call) {
+            answers.push_back(std::make_unique<slow_answer>(
+                loop.base(), std::move(call), encodeUpdate({ { { row(9) }, 9 }, false }), 10, milliseconds(50)));
+        });
+        mesh_member member;
+        member.node = "n4";
+        member.address = slow->address();
+        askingNode.directory.update(member, boot_clock::now());
+        table_statements newer;
+        newer.configuration = { 9, milliseconds(1) };
+        loop.runUntil([&] {
+            askingNode.exchange.handleStatements("n4", newer, boot_clock::now());
+            return askingNode.configuration.copy().newestChange() == 9 || answers.size() > maxAttempts;
+        });
+        EXPECT_EQ(askingNode.configuration.copy().newestChange(), 9);
+    }
+
     // Guards against a table that counts as current because of a node with an older copy.
     TEST_F(TableExchangeTest, OnlyTheAgeOfKnownRowsConfirmsTheTable)
     {
--- a/src/store/watched_store.h
+++ b/src/store/watched_store.h
@@ -51,11 +51,12 @@
 public:
     virtual ~watched_store() = default;
 
-    /// All rows of a table.
+    /// All rows of a table. The answer has to begin before the deadline and then is read for as long as it arrives.
     virtual void read(std::string table, time_point deadline, std::function<void(result<row_snapshot>)>) = 0;
     virtual void write(conditional_write, time_point deadline, std::function<void(result<write_outcome>)>) = 0;
     /// Answers as soon as there are changes after the version, or without any when the time to wait has passed. Fails
-    /// with `not_found` if the changes since then are no longer known; the table has to be read anew.
+    /// with `not_found` if the changes since then are no longer known; the table has to be read anew. The deadline is
+    /// that of read().
     virtual void watch(std::string table, row_version after, duration wait, time_point deadline,
         std::function<void(result<row_snapshot>)>)
         = 0;
