Refuse a request without a route while a newer configuration is on its way

A 404 ends a request for good, although such a node cannot know that the route does not exist: the 404 is a false statement.

The table exchange now keeps which nodes reported a newer change of a table. While one is known that this node does not hold, entry_service answers a request without a route with 503, which says that it has not run, and with the expected time until the configuration is there: that of the last fetch, less the time that the present one has taken. A report counts for 5 s, so that a node that reported and vanished does not keep others from answering. A node that holds the newest configuration it has heard of answers 404 as before.

With the hook in place and entry_service unchanged, the test failed: request_path_test.cpp:153: Failure answer.head.status Which is: 404, expected 503 [ FAILED ] RequestPathTest.UnknownRouteIsRefusedAsNotRunWhileANewerConfigurationIsOnItsWay It passes with the change. TableExchangeTest.NodeKnowsThatItsConfigurationIsBehind covers the knowledge; that function is new.

A node that has not heard of the newer configuration still answers 404; only a faster spread helps there.

--- a/src/mesh/internal/entry_service.cpp
+++ b/src/mesh/internal/entry_service.cpp
@@ -66,6 +66,14 @@
     exchange->respond(std::move(response));
 }
 
+void entry_service::answerWithoutRoute(const http_exchange_ptr& exchange)
+{
+    // The route may exist in a newer configuration that this node has heard of and does not hold yet.
+    if (const auto wait = m_context.configurationWait())
+        return refuse(exchange, *wait);
+    exchange->respond({ { statusNotFound, {} }, "" });
+}
+
 void entry_service::handle(http_exchange_ptr exchange)
 {
     const auto now = boot_clock::now();
@@ -78,7 +86,7 @@
     const auto& caller = decoded.value();
     const auto* route = m_context.routes.find(caller.host, caller.path);
     if (!route)
-        return exchange->respond({ { statusNotFound, {} }, "" });
+        return answerWithoutRoute(exchange);
 
     routed_request request;
     request.message = { message.method, message.target, endToEndHeaders(message.headers), message.body };
--- a/src/mesh/internal/entry_service.h
+++ b/src/mesh/internal/entry_service.h
@@ -36,6 +36,8 @@
     std::function<void(const std::string& service, const instance_id&, row_version)> onMapVersion;
     /// A node reported the state of its store tables in response to a request sent at this time.
     std::function<void(const instance_id&, const table_statements&, time_point askedAt)> onTableStatements;
+    /// Expected time until this node holds the newest configuration that it has heard of; empty if it holds it.
+    std::function<std::optional<duration>()> configurationWait;
 };
 
 /// Accepts requests from callers, forwards each to the gate of a backend server that may run it, and returns the
@@ -58,6 +60,7 @@
     retry_budget& budget(const std::string& service);
 
     void refuse(const http_exchange_ptr&, duration retryAfter);
+    void answerWithoutRoute(const http_exchange_ptr&);
 
     entry_context m_context;
     random_function m_random;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -102,7 +102,8 @@
                   },
                   [this](const instance_id& node, const table_statements& tables, time_point askedAt) {
                       m_tables.handleStatements(node, tables, askedAt);
-                  } })
+                  },
+                  [this] { return m_tables.configurationWait(); } })
             , m_replicas(m_settings, m_directory)
             , m_watch(base, m_settings, m_directory,
                   { [this](const instance_id& node) { m_registry.onNodeReplaced(node); },
--- a/src/mesh/internal/table_exchange.cpp
+++ b/src/mesh/internal/table_exchange.cpp
@@ -5,6 +5,7 @@
 #include "mesh/internal/peer_transfer.h"
 #include "telemetry/log_event.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace heatherdrift {
@@ -13,6 +14,10 @@
 
     /// Check interval for nodes that get no table state with their requests.
     constexpr auto tickInterval = std::chrono::milliseconds(200);
+    /// A node that reports its state no more may have been replaced or cut off.
+    constexpr auto maxStatementAge = std::chrono::seconds(5);
+    constexpr auto firstFetchTime = std::chrono::milliseconds(300); ///< Assumed before the first fetch.
+    constexpr auto minFetchWait = std::chrono::milliseconds(50);
     constexpr const char* tableHeader = "heatherdrift-table";
     constexpr const char* afterHeader = "heatherdrift-after";
     constexpr int statusNotFound = 404;
@@ -70,8 +75,8 @@
     table_watcher& configuration, table_watcher& members, table_exchange_hooks hooks)
     : m_settings(settings)
     , m_directory(directory)
-    , m_configuration(configuration)
-    , m_members(members)
+    , m_configuration { configuration }
+    , m_members { members }
     , m_hooks(std::move(hooks))
     , m_nextReader(hashBytes(settings.node))
     , m_tick(base, [this] { askReader(); })
@@ -82,13 +87,13 @@
 
 std::optional<table_statements> table_exchange::statement() const
 {
-    if (!m_configuration.isRead() || !m_members.isRead())
+    if (!m_configuration.watcher.isRead() || !m_members.watcher.isRead())
         return std::nullopt;
     const auto now = boot_clock::now();
     const auto of = [now](const table_watcher& table) {
         return table_statement { table.copy().newestChange(), now - table.currentAt() };
     };
-    return table_statements { of(m_configuration), of(m_members) };
+    return table_statements { of(m_configuration.watcher), of(m_members.watcher) };
 }
 
 fleet_place table_exchange::place() const
@@ -112,52 +117,73 @@
 }
 
 void table_exchange::handleStatement(
-    table_watcher& table, const instance_id& node, const table_statement& statement, time_point askedAt)
+    table_state& table, const instance_id& node, const table_statement& statement, time_point askedAt)
 {
-    if (statement.newestChange > table.copy().newestChange())
+    if (statement.newestChange > table.watcher.copy().newestChange()) {
+        table.newer[node] = { statement.newestChange, boot_clock::now() };
         return fetchFrom(table, node);
+    }
+    table.newer.erase(node);
     // The other node has no newer rows, so this node's copy was also current at that time.
-    table.confirm(askedAt - statement.age);
+    table.watcher.confirm(askedAt - statement.age);
 }
 
-void table_exchange::fetchFrom(table_watcher& table, const instance_id& node)
+void table_exchange::fetchFrom(table_state& table, const instance_id& node)
 {
     // The node may have been removed since it sent the response that led here.
-    if (!m_directory.find(node) || !m_fetching.insert(table.table()).second)
+    if (!m_directory.find(node) || std::exchange(table.isFetching, true))
         return;
     http_request request;
     request.target = target;
     request.headers.add(targetNodeHeader, node);
-    request.headers.add(tableHeader, table.table());
-    request.headers.add(afterHeader, std::to_string(table.copy().newestChange()));
-    const auto startedAt = boot_clock::now();
-    const int attempt = ++m_attempts[table.table()];
+    request.headers.add(tableHeader, table.watcher.table());
+    request.headers.add(afterHeader, std::to_string(table.watcher.copy().newestChange()));
+    table.fetchStartedAt = boot_clock::now();
+    ++table.attempts;
     fetchWithProgress(m_directory.client(node), std::move(request), peerTransferLimits(),
-        [this, &table, node, startedAt, attempt](const result<http_response>& answer) {
-            m_fetching.erase(table.table());
-            const auto elapsed = millisecondsText(boot_clock::now() - startedAt);
-            // After a failure, the next response of a node with newer rows starts another fetch.
-            if (answer.has_error() || answer.value().head.status != 200) {
-                logEvent(log_event::table_fetch_failed,
-                    { { "table", table.table() }, { "node", node }, { "ms", elapsed },
-                        { "attempt", std::to_string(attempt) },
-                        { "reason",
-                            answer.has_error() ? answer.error().message
-                                               : "status " + std::to_string(answer.value().head.status) } });
-                return;
-            }
-            m_attempts.erase(table.table());
-            logEvent(log_event::table_fetched,
-                { { "table", table.table() }, { "node", node }, { "ms", elapsed },
-                    { "attempt", std::to_string(attempt) }, { "bytes", std::to_string(answer.value().body.size()) } });
-            const auto update = decodeUpdate(answer.value().body);
-            if (update.has_error()) {
-                logEvent(
-                    log_event::peer_message_rejected, { { "target", node }, { "reason", update.error().message } });
-                return;
-            }
-            table.applyUpdate(update.value());
-        });
+        [this, &table, node](const result<http_response>& answer) { handleFetched(table, node, answer); });
+}
+
+void table_exchange::handleFetched(table_state& table, const instance_id& node, const result<http_response>& answer)
+{
+    table.isFetching = false;
+    const auto elapsed = boot_clock::now() - table.fetchStartedAt;
+    // After a failure, the next response of a node with newer rows starts another fetch.
+    if (answer.has_error() || answer.value().head.status != 200) {
+        logEvent(log_event::table_fetch_failed,
+            { { "table", table.watcher.table() }, { "node", node }, { "ms", millisecondsText(elapsed) },
+                { "attempt", std::to_string(table.attempts) },
+                { "reason",
+                    answer.has_error() ? answer.error().message
+                                       : "status " + std::to_string(answer.value().head.status) } });
+        return;
+    }
+    logEvent(log_event::table_fetched,
+        { { "table", table.watcher.table() }, { "node", node }, { "ms", millisecondsText(elapsed) },
+            { "attempt", std::to_string(table.attempts) }, { "bytes", std::to_string(answer.value().body.size()) } });
+    table.attempts = 0;
+    table.fetchTime = elapsed;
+    const auto update = decodeUpdate(answer.value().body);
+    if (update.has_error()) {
+        logEvent(log_event::peer_message_rejected, { { "target", node }, { "reason", update.error().message } });
+        return;
+    }
+    table.watcher.applyUpdate(update.value());
+}
+
+std::optional<duration> table_exchange::configurationWait() const
+{
+    const auto now = boot_clock::now();
+    const auto& table = m_configuration;
+    const auto isMissing = [&](const auto& entry) {
+        return entry.second.version > table.watcher.copy().newestChange()
+            && now - entry.second.statedAt < maxStatementAge;
+    };
+    if (std::ranges::none_of(table.newer, isMissing))
+        return std::nullopt;
+    const duration expected = table.fetchTime > duration::zero() ? table.fetchTime : duration(firstFetchTime);
+    const duration elapsed = table.isFetching ? now - table.fetchStartedAt : duration::zero();
+    return std::max<duration>(expected - elapsed, minFetchWait);
 }
 
 void table_exchange::handle(const http_exchange_ptr& exchange) const
@@ -167,7 +193,7 @@
     row_version after = 0;
     const auto text = headers.find(afterHeader).value_or("");
     const bool isNumber = std::from_chars(text.data(), text.data() + text.size(), after).ec == std::errc();
-    for (const auto* table : { &m_configuration, &m_members }) {
+    for (const auto* table : { &m_configuration.watcher, &m_members.watcher }) {
         if (isNumber && table->table() == name && table->isRead())
             return exchange->respond({ { 200, {} }, encodeUpdate(table->copy().updateAfter(after)) });
     }
@@ -177,7 +203,7 @@
 void table_exchange::askReader()
 {
     const auto now = boot_clock::now();
-    if (!m_configuration.needsReader(now) && !m_members.needsReader(now))
+    if (!m_configuration.watcher.needsReader(now) && !m_members.watcher.needsReader(now))
         return;
     const std::size_t wanted = m_nextReader++ % place().readers();
     std::size_t position = 0;
--- a/src/mesh/internal/table_exchange.h
+++ b/src/mesh/internal/table_exchange.h
@@ -4,7 +4,7 @@
 #include "mesh/internal/mesh_directory.h"
 #include "mesh/internal/table_watcher.h"
 
-#include <set>
+#include <map>
 
 namespace heatherdrift {
 
@@ -27,21 +27,37 @@
     /// Handles a request of another node for changes.
     void handle(const http_exchange_ptr&) const;
     fleet_place place() const;
+    /// Expected time until this node holds the newest configuration that another node has reported; empty if it holds
+    /// it.
+    std::optional<duration> configurationWait() const;
 
     static constexpr const char* target = "/heatherdrift/table";
 
 private:
-    void handleStatement(table_watcher&, const instance_id&, const table_statement&, time_point askedAt);
-    void fetchFrom(table_watcher&, const instance_id&);
+    struct newer_change {
+        row_version version = 0;
+        time_point statedAt {};
+    };
+    /// A table with the transfer of its changes from other nodes.
+    struct table_state {
+        table_watcher& watcher;
+        std::map<instance_id, newer_change> newer {}; ///< Changes that other nodes reported and this one lacked.
+        bool isFetching = false;
+        int attempts = 0; ///< Fetches since the last successful one.
+        time_point fetchStartedAt {};
+        duration fetchTime {}; ///< Of the last successful fetch; zero if there was none.
+    };
+
+    void handleStatement(table_state&, const instance_id&, const table_statement&, time_point askedAt);
+    void fetchFrom(table_state&, const instance_id&);
+    void handleFetched(table_state&, const instance_id&, const result<http_response>&);
     void askReader();
 
     const mesh_settings& m_settings;
     mesh_directory& m_directory;
-    table_watcher& m_configuration;
-    table_watcher& m_members;
+    table_state m_configuration;
+    table_state m_members;
     table_exchange_hooks m_hooks;
-    std::set<std::string> m_fetching; ///< Tables whose changes are being fetched.
-    std::map<std::string, int> m_attempts; ///< Fetches of a table since the last successful one.
     std::size_t m_nextReader; ///< Starts at a different reader on each node, to spread the requests.
     timer m_tick;
 };
--- a/src/mesh/tests/request_path_test.cpp
+++ b/src/mesh/tests/request_path_test.cpp
@@ -64,12 +64,12 @@
             self.life = "i@1";
             directory->update(self, boot_clock::now());
             map = range_map().assign({ 0, lastKey }, "i@1", 1);
-            entry = std::make_unique<entry_service>(
-                entry_context { loop.base(), settings, port, routes, *directory, *gate, &metrics,
-                    [this](const std::string&) { return mapLookups++ < failingMapLookups ? nullptr : &map; },
-                    [](const std::string&) {}, [](const instance_id&) {}, [](const instance_id&) {},
-                    [](const std::string&, const instance_id&, row_version) {},
-                    [](const instance_id&, const table_statements&, time_point) {} });
+            entry = std::make_unique<entry_service>(entry_context { loop.base(), settings, port, routes, *directory,
+                *gate, &metrics,
+                [this](const std::string&) { return mapLookups++ < failingMapLookups ? nullptr : &map; },
+                [](const std::string&) {}, [](const instance_id&) {}, [](const instance_id&) {},
+                [](const std::string&, const instance_id&, row_version) {},
+                [](const instance_id&, const table_statements&, time_point) {}, [this] { return configurationWait; } });
             server = loop.listen([this](http_exchange_ptr exchange) { entry->handle(std::move(exchange)); });
         }
 
@@ -106,6 +106,7 @@
         range_map map;
         int mapLookups = 0;
         int failingMapLookups = 0;
+        std::optional<duration> configurationWait;
         key_access access = key_access::serve;
         std::unique_ptr<http_server> backend;
         std::unique_ptr<gate_service> gate;
@@ -141,6 +142,25 @@
         EXPECT_EQ(arrivals, 0);
     }
 
+    // Guards against a 404 response for a route that exists in a newer configuration, which the node has heard of and
+    // not received yet: proper requests were denied for seconds.
+    TEST_F(RequestPathTest, UnknownRouteIsRefusedAsNotRunWhileANewerConfigurationIsOnItsWay)
+    {
+        configure(true);
+        routes.apply({ 2, {}, {}, {} });
+        configurationWait = milliseconds(200);
+        const auto answer = fetch();
+        EXPECT_EQ(answer.head.status, 503);
+        const auto retryAfter = answer.head.headers.find("retry-after-us");
+        ASSERT_TRUE(retryAfter);
+        const milliseconds delay(std::stoi(std::string(*retryAfter)) / 1000);
+        EXPECT_GE(delay, milliseconds(100));
+        EXPECT_LE(delay, milliseconds(300));
+        configurationWait.reset();
+        EXPECT_EQ(fetch().head.status, 404);
+        EXPECT_EQ(arrivals, 0);
+    }
+
     // Guards against running a request twice and against reporting "not run" for one that may have run.
     TEST_F(RequestPathTest, NonIdempotentRequestIsNotRetriedAfterALostResponse)
     {
--- a/src/mesh/tests/table_exchange_test.cpp
+++ b/src/mesh/tests/table_exchange_test.cpp
@@ -121,6 +121,17 @@
         EXPECT_EQ(askingNode.configuration.copy().newestChange(), 9);
     }
 
+    // Guards against a node that takes its configuration for the newest although another node has reported a newer one.
+    TEST_F(TableExchangeTest, NodeKnowsThatItsConfigurationIsBehind)
+    {
+        EXPECT_EQ(askingNode.exchange.configurationWait(), std::nullopt);
+        answeringNode.configuration.applyUpdate({ { { row(9) }, 9 }, false });
+        askingNode.exchange.handleStatements("n4", *answeringNode.exchange.statement(), boot_clock::now());
+        EXPECT_GT(askingNode.exchange.configurationWait(), duration::zero());
+        loop.runUntil([&] { return askingNode.configuration.copy().newestChange() == 9; });
+        EXPECT_EQ(askingNode.exchange.configurationWait(), std::nullopt);
+    }
+
     // Guards against a table that counts as current because of a node with an older copy.
     TEST_F(TableExchangeTest, OnlyTheAgeOfKnownRowsConfirmsTheTable)
     {
