Go on with another source after a failed fetch, and limit transfers per node

A node fetched a newer configuration from whichever node it heard of it from, also one that was stopping or slow, one at a time. Each node answered all fetches at once, so that a reader of the store divided its link among all nodes and each of them got too little.

The table exchange now remembers the nodes that reported newer changes and after a failed or stalled fetch goes on at once with another one. It prefers the newest change, then the own availability zone, skips nodes that are leaving or unreachable, and spreads the choice at random. A node sends at most two transfers of 24 KB or more at a time and refuses others at once with 503; their nodes ask another one. Before its first read from the store a node fetches nothing, since its copy would not take the changes.

On the unfixed code, with the new module present: [ FAILED ] TableExchangeTest.FailedFetchGoesOnWithAnotherNode (refused 1, expected 2; the change never arrived) [ FAILED ] TableExchangeTest.BusySourceIsAskedAgain (refused 1, expected 4; the change never arrived) [ FAILED ] TableExchangeTest.LeavingNodeIsNotAsked (asked 1, expected 0) [ FAILED ] TableExchangeTest.LargeTransfersAreLimitedAndOthersRefusedAtOnce All pass with the change.

--- a/src/mesh/internal/peer_transfer.cpp
+++ b/src/mesh/internal/peer_transfer.cpp
@@ -8,7 +8,6 @@
 
     /// A reachable node responds within milliseconds; the kernel repeats a lost packet after 200 ms.
     constexpr auto stallTime = std::chrono::milliseconds(400);
-    constexpr auto maxTransferTime = std::chrono::seconds(10);
     /// Share of a link of 12 Mbit/s that is left beside the clients' answers.
     constexpr std::size_t slowestBytesPerSecond = 128 * 1024;
 
--- a/src/mesh/internal/table_exchange.cpp
+++ b/src/mesh/internal/table_exchange.cpp
@@ -21,6 +21,9 @@
     constexpr const char* tableHeader = "heatherdrift-table";
     constexpr const char* afterHeader = "heatherdrift-after";
     constexpr int statusNotFound = 404;
+    constexpr int statusBusy = 503;
+    /// Smaller answers take no noticeable time on any link.
+    constexpr std::size_t minSlotBytes = 24 * 1024;
 
     result<row_change> decodeRow(const json& entry, const std::string& path)
     {
@@ -75,9 +78,11 @@
     table_watcher& configuration, table_watcher& members, table_exchange_hooks hooks)
     : m_settings(settings)
     , m_directory(directory)
-    , m_configuration { configuration }
-    , m_members { members }
+    , m_configuration { configuration, { base, [this] { retry(m_configuration); } } }
+    , m_members { members, { base, [this] { retry(m_members); } } }
     , m_hooks(std::move(hooks))
+    , m_random(seededRandom(hashBytes(settings.node)))
+    , m_slots(maxSentTransfers, maxTransferTime)
     , m_nextReader(hashBytes(settings.node))
     , m_tick(base, [this] { askReader(); })
 {
@@ -121,18 +126,56 @@
 {
     if (statement.newestChange > table.watcher.copy().newestChange()) {
         table.newer[node] = { statement.newestChange, boot_clock::now() };
-        return fetchFrom(table, node);
+        return fetchNewest(table);
     }
     table.newer.erase(node);
     // The other node has no newer rows, so this node's copy was also current at that time.
     table.watcher.confirm(askedAt - statement.age);
 }
 
-void table_exchange::fetchFrom(table_state& table, const instance_id& node)
+std::vector<fetch_source> table_exchange::sources(table_state& table) const
 {
-    // The node may have been removed since it sent the response that led here.
-    if (!m_directory.find(node) || std::exchange(table.isFetching, true))
+    const auto now = boot_clock::now();
+    std::erase_if(table.newer, [&](const auto& entry) {
+        return entry.second.version <= table.watcher.copy().newestChange()
+            || now - entry.second.statedAt >= maxStatementAge;
+    });
+    std::vector<fetch_source> out;
+    for (const auto& [node, change] : table.newer) {
+        const auto* peer = m_directory.find(node);
+        if (!peer || m_directory.isUnreachable(*peer, now))
+            continue;
+        if (!peer->member.isDraining && !peer->load.isDraining)
+            out.push_back({ node, peer->member.zone, change.version });
+    }
+    return out;
+}
+
+void table_exchange::fetchNewest(table_state& table)
+{
+    // Before the first read from the store, the copy takes no changes of other nodes.
+    if (table.isFetching || !table.watcher.isRead())
+        return;
+    auto candidates = sources(table);
+    if (candidates.empty())
         return;
+    std::erase_if(candidates, [&](const auto& source) { return table.tried.contains(source.node); });
+    const auto* source = selectSource(candidates, m_settings.zone, m_random());
+    if (source)
+        return fetchFrom(table, source->node);
+    if (!table.retryTimer.isPending())
+        table.retryTimer.startOnce(fetchRetryDelay(++table.failedRounds, m_random()));
+}
+
+void table_exchange::retry(table_state& table)
+{
+    table.tried.clear();
+    fetchNewest(table);
+}
+
+void table_exchange::fetchFrom(table_state& table, const instance_id& node)
+{
+    table.isFetching = true;
     http_request request;
     request.target = target;
     request.headers.add(targetNodeHeader, node);
@@ -147,8 +190,19 @@
 void table_exchange::handleFetched(table_state& table, const instance_id& node, const result<http_response>& answer)
 {
     table.isFetching = false;
+    const auto stated = table.newer.find(node);
+    const row_version expected = stated == table.newer.end() ? 0 : stated->second.version;
+    if (applyAnswer(table, node, answer) && table.watcher.copy().newestChange() >= expected) {
+        table.tried.clear();
+        table.failedRounds = 0;
+    } else
+        table.tried.insert(node);
+    fetchNewest(table);
+}
+
+bool table_exchange::applyAnswer(table_state& table, const instance_id& node, const result<http_response>& answer)
+{
     const auto elapsed = boot_clock::now() - table.fetchStartedAt;
-    // After a failure, the next response of a node with newer rows starts another fetch.
     if (answer.has_error() || answer.value().head.status != 200) {
         logEvent(log_event::table_fetch_failed,
             { { "table", table.watcher.table() }, { "node", node }, { "ms", millisecondsText(elapsed) },
@@ -156,7 +210,7 @@
                 { "reason",
                     answer.has_error() ? answer.error().message
                                        : "status " + std::to_string(answer.value().head.status) } });
-        return;
+        return false;
     }
     logEvent(log_event::table_fetched,
         { { "table", table.watcher.table() }, { "node", node }, { "ms", millisecondsText(elapsed) },
@@ -166,9 +220,10 @@
     const auto update = decodeUpdate(answer.value().body);
     if (update.has_error()) {
         logEvent(log_event::peer_message_rejected, { { "target", node }, { "reason", update.error().message } });
-        return;
+        return false;
     }
     table.watcher.applyUpdate(update.value());
+    return true;
 }
 
 std::optional<duration> table_exchange::configurationWait() const
@@ -186,7 +241,7 @@
     return std::max<duration>(expected - elapsed, minFetchWait);
 }
 
-void table_exchange::handle(const http_exchange_ptr& exchange) const
+void table_exchange::handle(const http_exchange_ptr& exchange)
 {
     const auto& headers = exchange->request().headers;
     const auto name = headers.find(tableHeader).value_or("");
@@ -195,11 +250,28 @@
     const bool isNumber = std::from_chars(text.data(), text.data() + text.size(), after).ec == std::errc();
     for (const auto* table : { &m_configuration.watcher, &m_members.watcher }) {
         if (isNumber && table->table() == name && table->isRead())
-            return exchange->respond({ { 200, {} }, encodeUpdate(table->copy().updateAfter(after)) });
+            return send(exchange, encodeUpdate(table->copy().updateAfter(after)));
     }
     exchange->respond({ { statusNotFound, {} }, "" });
 }
 
+void table_exchange::send(const http_exchange_ptr& exchange, const std::string& body)
+{
+    if (body.size() < minSlotBytes)
+        return exchange->respond({ { 200, {} }, body });
+    const auto slot = m_slots.begin(boot_clock::now());
+    // The other node asks another one, which is sooner than a share of this node's link.
+    if (!slot)
+        return exchange->respond({ { statusBusy, {} }, "" });
+    exchange->onClosed([this, slot] { m_slots.end(*slot); });
+    exchange->onDrained([this, slot, exchange] {
+        m_slots.end(*slot);
+        exchange->finish();
+    });
+    exchange->start({ 200, { { "Content-Length", std::to_string(body.size()) } } });
+    exchange->sendData(body);
+}
+
 void table_exchange::askReader()
 {
     const auto now = boot_clock::now();
--- a/src/mesh/internal/table_exchange.h
+++ b/src/mesh/internal/table_exchange.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "admission/random_function.h"
 #include "http/http_server.h"
+#include "mesh/internal/fetch_source.h"
 #include "mesh/internal/mesh_directory.h"
 #include "mesh/internal/table_watcher.h"
 
 #include <map>
+#include <set>
 
 namespace heatherdrift {
 
@@ -25,7 +28,7 @@
     /// Handles the table state that another node sent in response to a request sent at this time.
     void handleStatements(const instance_id&, const table_statements&, time_point askedAt);
     /// Handles a request of another node for changes.
-    void handle(const http_exchange_ptr&) const;
+    void handle(const http_exchange_ptr&);
     fleet_place place() const;
     /// Expected time until this node holds the newest configuration that another node has reported; empty if it holds
     /// it.
@@ -41,7 +44,10 @@
     /// A table with the transfer of its changes from other nodes.
     struct table_state {
         table_watcher& watcher;
+        timer retryTimer;
         std::map<instance_id, newer_change> newer {}; ///< Changes that other nodes reported and this one lacked.
+        std::set<instance_id> tried {}; ///< Nodes that did not deliver them since the last retry.
+        int failedRounds = 0; ///< Retries since the last successful fetch.
         bool isFetching = false;
         int attempts = 0; ///< Fetches since the last successful one.
         time_point fetchStartedAt {};
@@ -49,8 +55,15 @@
     };
 
     void handleStatement(table_state&, const instance_id&, const table_statement&, time_point askedAt);
+    std::vector<fetch_source> sources(table_state&) const;
+    void fetchNewest(table_state&);
+    /// Asks the nodes again that have failed.
+    void retry(table_state&);
     void fetchFrom(table_state&, const instance_id&);
     void handleFetched(table_state&, const instance_id&, const result<http_response>&);
+    /// False if the node did not deliver the changes.
+    bool applyAnswer(table_state&, const instance_id&, const result<http_response>&);
+    void send(const http_exchange_ptr&, const std::string& body);
     void askReader();
 
     const mesh_settings& m_settings;
@@ -58,6 +71,8 @@
     table_state m_configuration;
     table_state m_members;
     table_exchange_hooks m_hooks;
+    random_function m_random;
+    transfer_slots m_slots;
     std::size_t m_nextReader; ///< Starts at a different reader on each node, to spread the requests.
     timer m_tick;
 };
--- a/src/mesh/tests/table_exchange_test.cpp
+++ b/src/mesh/tests/table_exchange_test.cpp
@@ -2,6 +2,8 @@
 #include "http/tests/test_loop.h"
 #include "mesh/internal/table_exchange.h"
 
+#include <random>
+
 namespace heatherdrift {
 namespace {
 
@@ -81,6 +83,32 @@
             }
         }
 
+        void addNode(const instance_id& name, const endpoint& address, const std::string& zone)
+        {
+            mesh_member member;
+            member.node = name;
+            member.address = address;
+            member.zone = zone;
+            askingNode.directory.update(member, boot_clock::now());
+        }
+
+        /// False if it takes far longer than it may.
+        bool runUntilOrLate(const std::function<bool()>& isDone)
+        {
+            bool isLate = false;
+            timer limit(loop.base(), [&] { isLate = true; });
+            limit.startOnce(seconds(30));
+            loop.runUntil([&] { return isLate || isDone(); });
+            return isDone();
+        }
+
+        static table_statements newerConfiguration()
+        {
+            table_statements newer;
+            newer.configuration = { 9, milliseconds(1) };
+            return newer;
+        }
+
         static row_change row(row_version version) { return { { "configuration", "current" }, version, "v" }; }
 
         test_loop loop;
@@ -132,6 +160,100 @@
         EXPECT_EQ(askingNode.exchange.configurationWait(), std::nullopt);
     }
 
+    // Guards against a node that waits for the next mention of a change after a failed fetch, although it knows other
+    // nodes that have the change.
+    TEST_F(TableExchangeTest, FailedFetchGoesOnWithAnotherNode)
+    {
+        int refused = 0;
+        auto refusing = loop.listen([&](http_exchange_ptr call) {
+            ++refused;
+            call->respond({ { 503, {} }, "" });
+        });
+        answeringNode.configuration.applyUpdate({ { { row(9) }, 9 }, false });
+        addNode("n1", refusing->address(), "near");
+        addNode("n2", refusing->address(), "near");
+        addNode("n4", answeringNode.server->address(), "far");
+        askingNode.settings.zone = "near";
+        for (const char* name : { "n1", "n2", "n4" })
+            askingNode.exchange.handleStatements(name, newerConfiguration(), boot_clock::now());
+        EXPECT_TRUE(runUntilOrLate([&] { return askingNode.configuration.copy().newestChange() == 9; }));
+        EXPECT_EQ(refused, 2);
+    }
+
+    // Guards against a node that gives up while all nodes that have the change are busy.
+    TEST_F(TableExchangeTest, BusySourceIsAskedAgain)
+    {
+        int refused = 0;
+        auto busy = loop.listen([&](http_exchange_ptr call) {
+            if (++refused < 4)
+                return call->respond({ { 503, {} }, "" });
+            answeringNode.exchange.handle(call);
+        });
+        answeringNode.configuration.applyUpdate({ { { row(9) }, 9 }, false });
+        addNode("n4", busy->address(), "");
+        askingNode.exchange.handleStatements("n4", newerConfiguration(), boot_clock::now());
+        EXPECT_TRUE(runUntilOrLate([&] { return askingNode.configuration.copy().newestChange() == 9; }));
+        EXPECT_EQ(refused, 4);
+    }
+
+    // Guards against a request to a node that is leaving, whose link and process may end during the transfer.
+    TEST_F(TableExchangeTest, LeavingNodeIsNotAsked)
+    {
+        int asked = 0;
+        auto leaving = loop.listen([&](http_exchange_ptr call) {
+            ++asked;
+            answeringNode.exchange.handle(call);
+        });
+        answeringNode.configuration.applyUpdate({ { { row(9) }, 9 }, false });
+        addNode("n1", leaving->address(), "");
+        gate_load load;
+        load.isDraining = true;
+        askingNode.directory.recordAnswer("n1", load, boot_clock::now());
+        askingNode.exchange.handleStatements("n1", newerConfiguration(), boot_clock::now());
+        askingNode.exchange.handleStatements("n4", newerConfiguration(), boot_clock::now());
+        EXPECT_TRUE(runUntilOrLate([&] { return askingNode.configuration.copy().newestChange() == 9; }));
+        EXPECT_EQ(asked, 0);
+    }
+
+    // Guards against a node that sends a large table to all others at once, so that its link gives each of them too
+    // little.
+    TEST_F(TableExchangeTest, LargeTransfersAreLimitedAndOthersRefusedAtOnce)
+    {
+        constexpr std::size_t largeBytes = 12 << 20; // More than the kernel's buffers of a connection take.
+        constexpr std::size_t requests = 5;
+        std::mt19937 random(7);
+        std::string text;
+        while (text.size() < largeBytes)
+            text.push_back(static_cast<char>('a' + random() % 26));
+        const row_change large { { "configuration", "current" }, 9, text };
+        answeringNode.configuration.applyUpdate({ { { large }, 9 }, false });
+        const auto client = http_client::create(loop.base(), answeringNode.server->address(), 10);
+        std::vector<http_call_ptr> calls;
+        std::size_t refused = 0;
+        std::size_t completed = 0;
+        for (std::size_t i = 0; i < requests; ++i) {
+            http_call_handlers handlers;
+            handlers.onHead = [&, i](const http_response_head& head) {
+                refused += head.status == 503;
+                if (head.status == 200)
+                    calls[i]->pause();
+            };
+            handlers.onDone = [&](const result<void>& how) { completed += how.has_value(); };
+            http_request request;
+            request.target = table_exchange::target;
+            request.headers = { { "heatherdrift-table", "configuration" }, { "heatherdrift-after", "0" } };
+            calls.push_back(client->start(std::move(request), test_loop::farDeadline(), std::move(handlers)));
+        }
+        EXPECT_TRUE(runUntilOrLate([&] { return refused == requests - maxSentTransfers; }));
+        for (const auto& call : calls)
+            call->resume();
+        loop.runUntil([&] { return completed == requests; });
+        http_request request;
+        request.target = table_exchange::target;
+        request.headers = { { "heatherdrift-table", "configuration" }, { "heatherdrift-after", "0" } };
+        EXPECT_EQ(loop.fetch(*client, std::move(request)).value().head.status, 200);
+    }
+
     // Guards against a table that counts as current because of a node with an older copy.
     TEST_F(TableExchangeTest, OnlyTheAgeOfKnownRowsConfirmsTheTable)
     {
