Send state between nodes as compressed differences

Each change of the configuration, however small, crossed the links of all nodes whole, as a JSON text within a JSON text: 660,935 bytes for a document of 2,800 routes (571,228 bytes), and each node spent 9.0 ms of processor time on parsing that envelope (-O2, full core; a node has a tenth of one). The class of fault: state that is replicated whole where its changes are small.

text_delta compresses a text with libzstd, with the text that the receiver already holds as prefix, and adds its length, its hash and that of the prefix. table_codec names the rows that serve as prefix and packs rows in Thrift's compact protocol instead of JSON. table_copy keeps replaced states of rows of 4 KB or more, 4 MB at most, to derive differences from. Answers are encoded once for each version that askers hold. A node whose rows are not the assumed ones asks again for an update without a base. Decompressed texts are limited like received ones (16 MB). The member table travels by the same path; range maps are compressed by the same function, without a base.

TableUpdate.RoundTripsOrIsRejected tested the JSON form, which no longer exists; TableCodec.UpdateRoundTripsOrIsRejected takes its place with the same update and, beyond it, every truncation, bytes after the end and negative versions. Random and damaged bytes are properties of their own.

Nodes of earlier builds cannot read the new form and the reverse; during such a roll-out a node gets its changes from the store (by design, not run). Needs libzstd-dev.

--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -297,7 +297,7 @@
                 return m_ownerExchange.handlePushedMap(exchange);
             if (exchange->request().target == range_replicas::target)
                 return exchange->respond(
-                    { { 200, {} }, toJson(versioned_ranges { m_ownership.version(), m_ownership.map() }) });
+                    { { 200, {} }, encodeRanges(versioned_ranges { m_ownership.version(), m_ownership.map() }) });
             auto request = decodeForward(exchange->request(), boot_clock::now());
             if (request.has_error())
                 return exchange->respond({ { 400, {} }, "" });
--- a/src/mesh/internal/owner_exchange.cpp
+++ b/src/mesh/internal/owner_exchange.cpp
@@ -98,7 +98,7 @@
     if (statement == nameOf(map_statement::current))
         return m_ownership.onConfirmed(round->askedAt - confirmedAgo(answer.value().head));
     if (statement == nameOf(map_statement::outdated)) {
-        const auto newer = parseVersionedRanges(answer.value().body);
+        const auto newer = decodeRanges(answer.value().body);
         if (newer.has_error() || newer.value().version < m_ownership.version())
             return;
         m_ownership.adoptNewer(newer.value().map, newer.value().version);
@@ -110,7 +110,7 @@
 
 void owner_exchange::push(const std::set<life_name>& lives)
 {
-    const auto body = toJson(versioned_ranges { m_ownership.version(), m_ownership.map() });
+    const auto body = encodeRanges(versioned_ranges { m_ownership.version(), m_ownership.map() });
     for (const auto& life : lives) {
         const auto* peer = m_directory.findLife(life);
         if (!peer || peer->member.node == m_settings.node)
@@ -125,7 +125,7 @@
 
 void owner_exchange::handlePushedMap(const http_exchange_ptr& exchange)
 {
-    const auto ranges = parseVersionedRanges(exchange->request().body);
+    const auto ranges = decodeRanges(exchange->request().body);
     if (ranges.has_error())
         return exchange->respond({ { 400, {} }, "" });
     m_ownership.adoptNewer(ranges.value().map, ranges.value().version);
@@ -145,7 +145,7 @@
             if (ago)
                 response.head.headers.add(confirmedAgoHeader, std::to_string(ago->count()));
             if (statement == map_statement::outdated)
-                response.body = toJson(versioned_ranges { m_ownership.version(), m_ownership.map() });
+                response.body = encodeRanges(versioned_ranges { m_ownership.version(), m_ownership.map() });
             exchange->respond(std::move(response));
         });
 }
--- a/src/mesh/internal/range_replicas.cpp
+++ b/src/mesh/internal/range_replicas.cpp
@@ -1,33 +1,37 @@
 #include "mesh/internal/range_replicas.h"
 
 #include "base/hash.h"
-#include "base/json_reader.h"
 #include "mesh/internal/peer_transfer.h"
+#include "mesh/internal/text_delta.h"
+#include "store/table_limits.h"
+
+#include <charconv>
 
 namespace heatherdrift {
 
 namespace {
 
+    constexpr char separator = '\n'; ///< Between the version and the map.
     constexpr auto refreshInterval = std::chrono::milliseconds(200); ///< Limits the requests while keys have no owner.
 
 } // namespace
 
-std::string toJson(const versioned_ranges& ranges)
+std::string encodeRanges(const versioned_ranges& ranges)
 {
-    return json { { "version", ranges.version }, { "map", ranges.map.toJson() } }.dump();
+    return encodeDelta(std::to_string(ranges.version) + separator + ranges.map.toJson(), "");
 }
 
-result<versioned_ranges> parseVersionedRanges(std::string_view text)
+result<versioned_ranges> decodeRanges(std::string_view data)
 {
-    BOOST_OUTCOME_TRY(document, parseJson(text, error_code::bad_request));
+    BOOST_OUTCOME_TRY(text, decodeDelta(data, "", maxTableBytes));
     versioned_ranges out;
-    std::string map;
-    json_reader reader(document, "", error_code::bad_request);
-    reader.readInteger("version", out.version, { 1, INT64_MAX });
-    reader.readString("map", map);
-    BOOST_OUTCOME_TRY(reader.finish());
-    BOOST_OUTCOME_TRY(parsed, range_map::fromJson(map));
-    out.map = std::move(parsed);
+    const char* const textEnd = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), textEnd, out.version);
+    if (error != std::errc() || out.version < 1 || end == textEnd || *end != separator)
+        return notRun(error_code::bad_request, "range map without a version");
+    const std::string_view mapText(end + 1, static_cast<std::size_t>(textEnd - end) - 1);
+    BOOST_OUTCOME_TRY(map, range_map::fromJson(mapText));
+    out.map = std::move(map);
     return out;
 }
 
@@ -76,7 +80,7 @@
             m_fetching.erase(service);
             if (answer.has_error() || answer.value().head.status != 200)
                 return;
-            auto ranges = parseVersionedRanges(answer.value().body);
+            auto ranges = decodeRanges(answer.value().body);
             auto& copy = m_maps[service];
             if (ranges.has_value() && ranges.value().version > copy.version)
                 copy = std::move(ranges).value();
--- a/src/mesh/internal/range_replicas.h
+++ b/src/mesh/internal/range_replicas.h
@@ -15,8 +15,8 @@
     range_map map;
 };
 
-std::string toJson(const versioned_ranges&);
-result<versioned_ranges> parseVersionedRanges(std::string_view);
+std::string encodeRanges(const versioned_ranges&);
+result<versioned_ranges> decodeRanges(std::string_view);
 
 /// Copies of the range maps of other services. A map is fetched from a node of the service when a response names a
 /// newer version, so that no call to the store is needed.
--- a/src/mesh/internal/table_copy.cpp
+++ b/src/mesh/internal/table_copy.cpp
@@ -13,7 +13,7 @@
         // An older version of a row may belong to a row that has been removed since.
         if (row.version <= previousNewest || row.version <= m_rows[row.key].version)
             continue;
-        m_rows[row.key] = row;
+        m_earlier.add(std::exchange(m_rows[row.key], row));
         m_newestChange = std::max(m_newestChange, row.version);
         changes.push_back(row);
     }
@@ -64,4 +64,12 @@
     return out;
 }
 
+const row_change* table_copy::find(const row_key& key, row_version atMost) const
+{
+    const auto found = m_rows.find(key);
+    if (found != m_rows.end() && found->second.version <= atMost)
+        return &found->second;
+    return m_earlier.find(key, atMost);
+}
+
 } // namespace heatherdrift
--- a/src/mesh/internal/table_copy.h
+++ b/src/mesh/internal/table_copy.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "mesh/internal/row_history.h"
+#include "store/table_limits.h"
 #include "store/watched_store.h"
 
 #include <map>
@@ -29,15 +31,20 @@
 
     /// The update for a node whose newest change is this one.
     table_update updateAfter(row_version newestChange) const;
+    /// Newest known state of the row up to this version; null if it is not known any more.
+    const row_change* find(const row_key&, row_version atMost) const;
     /// Version of the store up to which the copy contains all changes.
     row_version version() const { return m_version; }
     /// Version of the newest change of this table.
     row_version newestChange() const { return m_newestChange; }
 
 private:
+    static constexpr std::size_t maxEarlierBytes = instanceMemoryBytes / 64;
+
     std::vector<row_change> apply(const std::vector<row_change>&);
 
     std::map<row_key, row_change> m_rows; ///< Includes tombstones of removed rows.
+    row_history m_earlier { maxEarlierBytes };
     row_version m_version = 0;
     row_version m_newestChange = 0;
     row_version m_removalHistoryStart = 0; ///< Tombstones of earlier removals are missing from the rows.
--- a/src/mesh/internal/table_exchange.cpp
+++ b/src/mesh/internal/table_exchange.cpp
@@ -1,7 +1,6 @@
 #include "mesh/internal/table_exchange.h"
 
 #include "base/hash.h"
-#include "base/json_reader.h"
 #include "mesh/internal/peer_transfer.h"
 #include "telemetry/log_event.h"
 
@@ -20,60 +19,14 @@
     constexpr auto minFetchWait = std::chrono::milliseconds(50);
     constexpr const char* tableHeader = "heatherdrift-table";
     constexpr const char* afterHeader = "heatherdrift-after";
+    constexpr const char* baseHeader = "heatherdrift-base"; ///< "no": the answer must not be a difference.
     constexpr int statusNotFound = 404;
     constexpr int statusBusy = 503;
     /// Smaller answers take no noticeable time on any link.
     constexpr std::size_t minSlotBytes = 24 * 1024;
 
-    result<row_change> decodeRow(const json& entry, const std::string& path)
-    {
-        row_change row;
-        std::string value;
-        json_reader reader(entry, path, error_code::bad_request);
-        reader.readString("table", row.key.table);
-        reader.readString("key", row.key.key);
-        reader.readInteger("version", row.version, { 1, INT64_MAX });
-        reader.readString("value", value, json_reader::presence::optional);
-        BOOST_OUTCOME_TRY(reader.finish());
-        if (entry.contains("value"))
-            row.value = std::move(value);
-        return row;
-    }
-
 } // namespace
 
-std::string encodeUpdate(const table_update& update)
-{
-    json rows = json::array();
-    for (const auto& row : update.rows.rows) {
-        json entry { { "table", row.key.table }, { "key", row.key.key }, { "version", row.version } };
-        if (row.value)
-            entry["value"] = *row.value;
-        rows.push_back(std::move(entry));
-    }
-    return json { { "version", update.rows.version }, { "whole", update.isWhole }, { "rows", std::move(rows) } }.dump();
-}
-
-result<table_update> decodeUpdate(std::string_view text)
-{
-    BOOST_OUTCOME_TRY(document, parseJson(text, error_code::bad_request));
-    table_update out;
-    json_reader reader(document, "", error_code::bad_request);
-    reader.readInteger("version", out.rows.version, { 0, INT64_MAX });
-    reader.readBool("whole", out.isWhole);
-    reader.readValue("rows", [&](const json& rows, const std::string& path) -> result<void> {
-        if (!rows.is_array())
-            return notRun(error_code::bad_request, path + ": not a list");
-        for (const auto& entry : rows) {
-            BOOST_OUTCOME_TRY(row, decodeRow(entry, path));
-            out.rows.rows.push_back(std::move(row));
-        }
-        return outcome::success();
-    });
-    BOOST_OUTCOME_TRY(reader.finish());
-    return out;
-}
-
 table_exchange::table_exchange(event_base* base, const mesh_settings& settings, mesh_directory& directory,
     table_watcher& configuration, table_watcher& members, table_exchange_hooks hooks)
     : m_settings(settings)
@@ -181,6 +134,8 @@
     request.headers.add(targetNodeHeader, node);
     request.headers.add(tableHeader, table.watcher.table());
     request.headers.add(afterHeader, std::to_string(table.watcher.copy().newestChange()));
+    if (table.needsWhole)
+        request.headers.add(baseHeader, "no");
     table.fetchStartedAt = boot_clock::now();
     ++table.attempts;
     fetchWithProgress(m_directory.client(node), std::move(request), peerTransferLimits(),
@@ -217,7 +172,8 @@
             { "attempt", std::to_string(table.attempts) }, { "bytes", std::to_string(answer.value().body.size()) } });
     table.attempts = 0;
     table.fetchTime = elapsed;
-    const auto update = decodeUpdate(answer.value().body);
+    const auto update = decodeUpdate(answer.value().body, table.watcher.copy());
+    table.needsWhole = update.has_error();
     if (update.has_error()) {
         logEvent(log_event::peer_message_rejected, { { "target", node }, { "reason", update.error().message } });
         return false;
@@ -248,9 +204,10 @@
     row_version after = 0;
     const auto text = headers.find(afterHeader).value_or("");
     const bool isNumber = std::from_chars(text.data(), text.data() + text.size(), after).ec == std::errc();
-    for (const auto* table : { &m_configuration.watcher, &m_members.watcher }) {
-        if (isNumber && table->table() == name && table->isRead())
-            return send(exchange, encodeUpdate(table->copy().updateAfter(after)));
+    const bool hasBase = headers.find(baseHeader) != "no";
+    for (auto* table : { &m_configuration, &m_members }) {
+        if (isNumber && table->watcher.table() == name && table->watcher.isRead())
+            return send(exchange, *table->encoder.encode(after, hasBase));
     }
     exchange->respond({ { statusNotFound, {} }, "" });
 }
--- a/src/mesh/internal/table_exchange.h
+++ b/src/mesh/internal/table_exchange.h
@@ -4,6 +4,7 @@
 #include "http/http_server.h"
 #include "mesh/internal/fetch_source.h"
 #include "mesh/internal/mesh_directory.h"
+#include "mesh/internal/table_codec.h"
 #include "mesh/internal/table_watcher.h"
 
 #include <map>
@@ -45,10 +46,12 @@
     struct table_state {
         table_watcher& watcher;
         timer retryTimer;
+        update_encoder encoder { watcher.copy() };
         std::map<instance_id, newer_change> newer {}; ///< Changes that other nodes reported and this one lacked.
         std::set<instance_id> tried {}; ///< Nodes that did not deliver them since the last retry.
         int failedRounds = 0; ///< Retries since the last successful fetch.
         bool isFetching = false;
+        bool needsWhole = false; ///< Another node's difference did not fit to the rows of this one.
         int attempts = 0; ///< Fetches since the last successful one.
         time_point fetchStartedAt {};
         duration fetchTime {}; ///< Of the last successful fetch; zero if there was none.
@@ -77,7 +80,4 @@
     timer m_tick;
 };
 
-std::string encodeUpdate(const table_update&);
-result<table_update> decodeUpdate(std::string_view);
-
 } // namespace heatherdrift
