Ask for a new change at once after failures with an earlier one

A node that refused a transfer or failed stayed among the tried ones, and the delay of up to 1.2 s after repeated failures stayed in force, when the change itself arrived in another way, as from the store. The next change was then fetched only when the delay had ended, although its source might have been free; found in review of the choice of the source.

The failures are now forgotten when a node reports a newer change than any before. On the unfixed code: table_exchange_test.cpp:222: Failure asked Which is: 5, askedBefore + 1 Which is: 6 [ FAILED ] TableExchangeTest.FailuresOfAnEarlierChangeDoNotDelayTheNextOne (603 ms) With the change it and the other tests of the table exchange pass.

--- a/src/mesh/internal/table_exchange.cpp
+++ b/src/mesh/internal/table_exchange.cpp
@@ -79,6 +79,10 @@
 {
     if (statement.newestChange > table.watcher.copy().newestChange()) {
         table.newer[node] = { statement.newestChange, boot_clock::now() };
+        if (statement.newestChange > table.newest) {
+            table.newest = statement.newestChange;
+            forgetFailures(table);
+        }
         return fetchNewest(table);
     }
     table.newer.erase(node);
@@ -120,6 +124,13 @@
         table.retryTimer.startOnce(fetchRetryDelay(++table.failedRounds, m_random()));
 }
 
+void table_exchange::forgetFailures(table_state& table)
+{
+    table.retryTimer.stop();
+    table.tried.clear();
+    table.failedRounds = 0;
+}
+
 void table_exchange::retry(table_state& table)
 {
     table.tried.clear();
@@ -147,10 +158,9 @@
     table.isFetching = false;
     const auto stated = table.newer.find(node);
     const row_version expected = stated == table.newer.end() ? 0 : stated->second.version;
-    if (applyAnswer(table, node, answer) && table.watcher.copy().newestChange() >= expected) {
-        table.tried.clear();
-        table.failedRounds = 0;
-    } else
+    if (applyAnswer(table, node, answer) && table.watcher.copy().newestChange() >= expected)
+        forgetFailures(table);
+    else
         table.tried.insert(node);
     fetchNewest(table);
 }
--- a/src/mesh/internal/table_exchange.h
+++ b/src/mesh/internal/table_exchange.h
@@ -48,7 +48,8 @@
         timer retryTimer;
         update_encoder encoder { watcher.copy() };
         std::map<instance_id, newer_change> newer {}; ///< Changes that other nodes reported and this one lacked.
-        std::set<instance_id> tried {}; ///< Nodes that did not deliver them since the last retry.
+        row_version newest = 0; ///< Newest change that another node has reported.
+        std::set<instance_id> tried {}; ///< Nodes that did not deliver it since the last retry.
         int failedRounds = 0; ///< Retries since the last successful fetch.
         bool isFetching = false;
         bool needsWhole = false; ///< Another node's difference did not fit to the rows of this one.
@@ -60,6 +61,7 @@
     void handleStatement(table_state&, const instance_id&, const table_statement&, time_point askedAt);
     std::vector<fetch_source> sources(table_state&) const;
     void fetchNewest(table_state&);
+    static void forgetFailures(table_state&);
     /// Asks the nodes again that have failed.
     void retry(table_state&);
     void fetchFrom(table_state&, const instance_id&);
--- a/src/mesh/tests/table_exchange_test.cpp
+++ b/src/mesh/tests/table_exchange_test.cpp
@@ -196,6 +196,33 @@
         EXPECT_EQ(refused, 4);
     }
 
+    // Guards against the wait after repeated failures that is carried over to the next change: a node that refused an
+    // earlier one was not asked for it.
+    TEST_F(TableExchangeTest, FailuresOfAnEarlierChangeDoNotDelayTheNextOne)
+    {
+        constexpr int manyFailures = 5;
+        int asked = 0;
+        bool isBusy = true;
+        auto source = loop.listen([&](http_exchange_ptr call) {
+            ++asked;
+            if (isBusy)
+                return call->respond({ { 503, {} }, "" });
+            answeringNode.exchange.handle(call);
+        });
+        addNode("n4", source->address(), "");
+        askingNode.exchange.handleStatements("n4", newerConfiguration(), boot_clock::now());
+        EXPECT_TRUE(runUntilOrLate([&] { return asked >= manyFailures; }));
+        loop.runReady();
+        const int askedBefore = asked;
+        askingNode.configuration.applyUpdate({ { { row(9) }, 9 }, false });
+        isBusy = false;
+        answeringNode.configuration.applyUpdate({ { { row(12) }, 12 }, false });
+        askingNode.exchange.handleStatements("n4", *answeringNode.exchange.statement(), boot_clock::now());
+        loop.runReady();
+        EXPECT_EQ(asked, askedBefore + 1);
+        EXPECT_EQ(askingNode.configuration.copy().newestChange(), 12);
+    }
+
     // Guards against a request to a node that is leaving, whose link and process may end during the transfer.
     TEST_F(TableExchangeTest, LeavingNodeIsNotAsked)
     {
