--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -102,7 +102,8 @@
                   },
                   [this](const instance_id& node, const table_statements& tables, time_point askedAt) {
                       m_tables.handleStatements(node, tables, askedAt);
-                  } })
+                  },
+                  [this] { return m_tables.configurationWait(); } })
             , m_replicas(m_settings, m_directory)
             , m_watch(base, m_settings, m_directory,
                   { [this](const instance_id& node) { m_registry.onNodeReplaced(node); },
@@ -296,7 +297,7 @@
                 return m_ownerExchange.handlePushedMap(exchange);
             if (exchange->request().target == range_replicas::target)
                 return exchange->respond(
-                    { { 200, {} }, toJson(versioned_ranges { m_ownership.version(), m_ownership.map() }) });
+                    { { 200, {} }, encodeRanges(versioned_ranges { m_ownership.version(), m_ownership.map() }) });
             auto request = decodeForward(exchange->request(), boot_clock::now());
             if (request.has_error())
                 return exchange->respond({ { 400, {} }, "" });
--- a/src/mesh/internal/owner_exchange.cpp
+++ b/src/mesh/internal/owner_exchange.cpp
@@ -1,5 +1,6 @@
 #include "mesh/internal/owner_exchange.h"
 
+#include "mesh/internal/peer_transfer.h"
 #include "mesh/internal/range_replicas.h"
 
 #include <algorithm>
@@ -15,8 +16,6 @@
     constexpr const char* statementHeader = "heatherdrift-map-statement";
     /// Longer than the timeout of the asked owner's own check at the store.
     constexpr auto answerTimeout = std::chrono::milliseconds(1200);
-    constexpr auto pushTimeout = std::chrono::milliseconds(300);
-    constexpr std::size_t answerLimitBytes = 4u << 20;
 
     const char* nameOf(map_statement statement)
     {
@@ -85,7 +84,9 @@
     request.headers.add(targetNodeHeader, node);
     request.headers.add(holderHeader, m_ownership.life());
     request.headers.add(versionHeader, std::to_string(round->version));
-    fetch(m_directory.client(node), std::move(request), round->askedAt + answerTimeout, answerLimitBytes,
+    auto limits = peerTransferLimits();
+    limits.headBy = round->askedAt + answerTimeout;
+    fetchWithProgress(m_directory.client(node), std::move(request), limits,
         [this, round](const result<http_response>& answer) { handleAnswer(round, answer); });
 }
 
@@ -97,7 +98,7 @@
     if (statement == nameOf(map_statement::current))
         return m_ownership.onConfirmed(round->askedAt - confirmedAgo(answer.value().head));
     if (statement == nameOf(map_statement::outdated)) {
-        const auto newer = parseVersionedRanges(answer.value().body);
+        const auto newer = decodeRanges(answer.value().body);
         if (newer.has_error() || newer.value().version < m_ownership.version())
             return;
         m_ownership.adoptNewer(newer.value().map, newer.value().version);
@@ -109,14 +110,14 @@
 
 void owner_exchange::push(const std::set<life_name>& lives)
 {
-    const auto body = toJson(versioned_ranges { m_ownership.version(), m_ownership.map() });
+    const auto body = encodeRanges(versioned_ranges { m_ownership.version(), m_ownership.map() });
     for (const auto& life : lives) {
         const auto* peer = m_directory.findLife(life);
         if (!peer || peer->member.node == m_settings.node)
             continue;
         http_request request { "PUT", range_replicas::target, { { targetNodeHeader, peer->member.node } }, body };
-        fetch(m_directory.client(peer->member.node), std::move(request), boot_clock::now() + pushTimeout,
-            answerLimitBytes, [](const result<http_response>&) {
+        fetchWithProgress(m_directory.client(peer->member.node), std::move(request), peerTransferLimits(body.size()),
+            [](const result<http_response>&) {
                 // A node that missed the push gets the map from its next check or from its watch of the table.
             });
     }
@@ -124,7 +125,7 @@
 
 void owner_exchange::handlePushedMap(const http_exchange_ptr& exchange)
 {
-    const auto ranges = parseVersionedRanges(exchange->request().body);
+    const auto ranges = decodeRanges(exchange->request().body);
     if (ranges.has_error())
         return exchange->respond({ { 400, {} }, "" });
     m_ownership.adoptNewer(ranges.value().map, ranges.value().version);
@@ -144,7 +145,7 @@
             if (ago)
                 response.head.headers.add(confirmedAgoHeader, std::to_string(ago->count()));
             if (statement == map_statement::outdated)
-                response.body = toJson(versioned_ranges { m_ownership.version(), m_ownership.map() });
+                response.body = encodeRanges(versioned_ranges { m_ownership.version(), m_ownership.map() });
             exchange->respond(std::move(response));
         });
 }
--- a/src/mesh/internal/table_exchange.h
+++ b/src/mesh/internal/table_exchange.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "admission/random_function.h"
 #include "http/http_server.h"
+#include "mesh/internal/fetch_source.h"
 #include "mesh/internal/mesh_directory.h"
+#include "mesh/internal/table_codec.h"
 #include "mesh/internal/table_watcher.h"
 
+#include <map>
 #include <set>
 
 namespace heatherdrift {
@@ -25,28 +29,57 @@
     /// Handles the table state that another node sent in response to a request sent at this time.
     void handleStatements(const instance_id&, const table_statements&, time_point askedAt);
     /// Handles a request of another node for changes.
-    void handle(const http_exchange_ptr&) const;
+    void handle(const http_exchange_ptr&);
     fleet_place place() const;
+    /// Expected time until this node holds the newest configuration that another node has reported; empty if it holds
+    /// it.
+    std::optional<duration> configurationWait() const;
 
     static constexpr const char* target = "/heatherdrift/table";
 
 private:
-    void handleStatement(table_watcher&, const instance_id&, const table_statement&, time_point askedAt);
-    void fetchFrom(table_watcher&, const instance_id&);
+    struct newer_change {
+        row_version version = 0;
+        time_point statedAt {};
+    };
+    /// A table with the transfer of its changes from other nodes.
+    struct table_state {
+        table_watcher& watcher;
+        timer retryTimer;
+        update_encoder encoder { watcher.copy() };
+        std::map<instance_id, newer_change> newer {}; ///< Changes that other nodes reported and this one lacked.
+        row_version newest = 0; ///< Newest change that another node has reported.
+        std::set<instance_id> tried {}; ///< Nodes that did not deliver it since the last retry.
+        int failedRounds = 0; ///< Retries since the last successful fetch.
+        bool isFetching = false;
+        bool needsWhole = false; ///< Another node's difference did not fit to the rows of this one.
+        int attempts = 0; ///< Fetches since the last successful one.
+        time_point fetchStartedAt {};
+        duration fetchTime {}; ///< Of the last successful fetch; zero if there was none.
+    };
+
+    void handleStatement(table_state&, const instance_id&, const table_statement&, time_point askedAt);
+    std::vector<fetch_source> sources(table_state&) const;
+    void fetchNewest(table_state&);
+    static void forgetFailures(table_state&);
+    /// Asks the nodes again that have failed.
+    void retry(table_state&);
+    void fetchFrom(table_state&, const instance_id&);
+    void handleFetched(table_state&, const instance_id&, const result<http_response>&);
+    /// False if the node did not deliver the changes.
+    bool applyAnswer(table_state&, const instance_id&, const result<http_response>&);
+    void send(const http_exchange_ptr&, const std::string& body);
     void askReader();
 
     const mesh_settings& m_settings;
     mesh_directory& m_directory;
-    table_watcher& m_configuration;
-    table_watcher& m_members;
+    table_state m_configuration;
+    table_state m_members;
     table_exchange_hooks m_hooks;
-    std::set<std::string> m_fetching; ///< Tables whose changes are being fetched.
-    std::map<std::string, int> m_attempts; ///< Fetches of a table since the last successful one.
+    random_function m_random;
+    transfer_slots m_slots;
     std::size_t m_nextReader; ///< Starts at a different reader on each node, to spread the requests.
     timer m_tick;
 };
 
-std::string encodeUpdate(const table_update&);
-result<table_update> decodeUpdate(std::string_view);
-
 } // namespace heatherdrift
