--- a/src/base/tests/odd_json.h
+++ b/src/base/tests/odd_json.h
@@ -51,4 +51,12 @@
     return text;
 }
 
+/// Calls the function with many mutations of the document, since most are rejected early.
+inline void forMutations(const json& document, const std::function<void(const std::string& text)>& check)
+{
+    constexpr int mutations = 40;
+    for (int i = 0; i < mutations; ++i)
+        check(mutatedText(document));
+}
+
 } // namespace heatherdrift
--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -1,6 +1,8 @@
 #include "mesh/forward_protocol.h"
 
+#include <algorithm>
 #include <charconv>
+#include <climits>
 #include <utility>
 
 namespace heatherdrift {
@@ -29,6 +31,10 @@
     constexpr const char* tablesHeader = "heatherdrift-tables"; ///< Four numbers, separated by commas.
     constexpr double permille = 1000;
     constexpr int statusRefused = 503;
+    /// Bounds for the numbers of other nodes, which leave room for sums with points in time.
+    constexpr std::int64_t maxTimeout = std::chrono::microseconds(std::chrono::hours(48)).count();
+    constexpr std::int64_t maxRetryAfter = std::chrono::microseconds(std::chrono::hours(1)).count();
+    constexpr std::int64_t maxPermille = 1'000'000'000;
 
     /// Reads the headers of this protocol and removes them from the message.
     class header_reader {
@@ -52,11 +58,19 @@
         {
             const std::string value = text(name);
             std::int64_t out = 0;
-            if (value.empty() || std::from_chars(value.data(), value.data() + value.size(), out).ec != std::errc())
+            const auto* end = value.data() + value.size();
+            const auto parsed = std::from_chars(value.data(), end, out);
+            if (value.empty() || parsed.ec != std::errc() || parsed.ptr != end)
                 return std::nullopt;
             return out;
         }
 
+        /// The nearest number in the range; the least one without the header.
+        std::int64_t numberIn(const char* name, std::int64_t least, std::int64_t most)
+        {
+            return std::clamp(number(name).value_or(least), least, most);
+        }
+
     private:
         http_headers& m_headers;
     };
@@ -120,11 +134,11 @@
     const auto timeout = reader.number(timeoutHeader);
     const auto objective = reader.number(objectiveHeader);
     const auto priority = reader.number(priorityHeader);
-    if (!timeout || !objective || !priority || request.service.empty())
+    if (!timeout || !objective || !priority || *priority < 0 || *priority > INT_MAX || request.service.empty())
         return notRun(
             error_code::bad_request, "forwarded request without service, timeout, objective or priority header");
-    request.deadline = now + duration(*timeout);
-    request.objective = now + duration(*objective);
+    request.deadline = now + duration(std::clamp(*timeout, -maxTimeout, maxTimeout));
+    request.objective = now + duration(std::clamp(*objective, -maxTimeout, maxTimeout));
     request.priority = static_cast<int>(*priority);
     request.isFromOwnHost = !reader.text(ownHostHeader).empty();
     request.isIdempotent = !reader.text(idempotentHeader).empty();
@@ -169,12 +183,12 @@
         return mayHaveRun(error_code::connection_lost, "response of the other node has no verdict header");
     answer.outcome = *outcome;
     answer.reason = parseErrorCode(reader.text(errorHeader)).value_or(error_code::internal);
-    answer.retryAfter = duration(reader.number(retryAfterHeader).value_or(0));
+    answer.retryAfter = duration(reader.numberIn(retryAfterHeader, 0, maxRetryAfter));
     answer.reachedBackend = !reader.text(reachedHeader).empty();
     answer.load.life = reader.text(lifeHeader);
-    answer.load.load = static_cast<double>(reader.number(loadHeader).value_or(0)) / permille;
-    answer.load.demand = static_cast<double>(reader.number(demandHeader).value_or(0)) / permille;
-    answer.load.mapVersion = reader.number(mapHeader).value_or(0);
+    answer.load.load = static_cast<double>(reader.numberIn(loadHeader, 0, maxPermille)) / permille;
+    answer.load.demand = static_cast<double>(reader.numberIn(demandHeader, 0, maxPermille)) / permille;
+    answer.load.mapVersion = reader.numberIn(mapHeader, 0, INT64_MAX);
     answer.load.isDraining = !reader.text(drainingHeader).empty();
     answer.load.tables = decodeTables(reader.text(tablesHeader));
     return answer;
--- a/src/mesh/internal/member.cpp
+++ b/src/mesh/internal/member.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr integer_range slotCounts { 1, 1 << 20 };
+    constexpr integer_range slotCounts { 1, maxSlots };
 
 } // namespace
 
--- a/src/mesh/internal/range_balancer.cpp
+++ b/src/mesh/internal/range_balancer.cpp
@@ -24,6 +24,14 @@
     constexpr std::size_t answerLimitBytes = 1024;
     constexpr int statusUnavailable = 503;
     constexpr int statusBadRequest = 400;
+    constexpr double maxLoad = 1e6; ///< Sums of the loads of all keys stay finite.
+
+    bool isKeyLoad(const json& entry)
+    {
+        return entry.is_array() && entry.size() == 2 && entry[0].is_number_unsigned()
+            && entry[0].get<std::uint64_t>() <= lastKey && entry[1].is_number() && entry[1].get<double>() >= 0
+            && entry[1].get<double>() <= maxLoad;
+    }
 
 } // namespace
 
@@ -38,12 +46,14 @@
     load_report out;
     json_reader reader(document, "", error_code::bad_request);
     reader.readString("life", out.life);
-    reader.readNumber("demand", out.demand, 0, 1e6);
+    reader.readNumber("demand", out.demand, 0, maxLoad);
     reader.readValue("keys", [&](const json& value, const std::string& path) -> result<void> {
-        try {
-            out.keys = value.get<std::vector<std::pair<key_number, double>>>();
-        } catch (const json::exception&) {
-            return notRun(error_code::bad_request, path + ": not a list of keys and loads");
+        if (!value.is_array())
+            return notRun(error_code::bad_request, path + ": expected an array");
+        for (const auto& entry : value) {
+            if (!isKeyLoad(entry))
+                return notRun(error_code::bad_request, path + ": expected pairs of a key and its load");
+            out.keys.emplace_back(entry[0].get<key_number>(), entry[1].get<double>());
         }
         return outcome::success();
     });
--- a/src/mesh/member.h
+++ b/src/mesh/member.h
@@ -8,6 +8,8 @@
 
 namespace heatherdrift {
 
+constexpr int maxSlots = 1 << 20;
+
 /// A node and its backend server, as stored in the member table.
 struct mesh_member {
     instance_id node;
--- a/src/mesh/tests/forward_protocol_test.cpp
+++ b/src/mesh/tests/forward_protocol_test.cpp
@@ -1,8 +1,11 @@
+#include "base/tests/odd_json.h"
 #include "mesh/forward_protocol.h"
+#include "mesh/internal/range_balancer.h"
 #include "mesh/internal/range_replicas.h"
 #include "mesh/member.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace heatherdrift {
 namespace {
@@ -109,5 +112,78 @@
         EXPECT_TRUE(parseVersionedRanges(R"({"version":0,"map":""})").has_error());
     }
 
+    // Guards against headers of another node whose numbers overflow when they are converted or added to a point in
+    // time.
+    TEST(ForwardProtocol, NumbersOutOfRangeAreLimitedOrRejected)
+    {
+        const auto decodeWith = [](const char* header, const char* value) {
+            auto message = encodeForward(makeRequest(), now);
+            message.headers.set(header, value);
+            return decodeForward(message, now);
+        };
+        for (const char* header : { "heatherdrift-timeout-us", "heatherdrift-objective-us" }) {
+            const auto longest = decodeWith(header, "9223372036854775807");
+            ASSERT_TRUE(longest.has_value()) << header;
+            EXPECT_LE(longest.value().deadline, now + std::chrono::hours(48)) << header;
+            EXPECT_LE(longest.value().objective, now + std::chrono::hours(48)) << header;
+            const auto expired = decodeWith(header, "-9223372036854775807");
+            ASSERT_TRUE(expired.has_value()) << header;
+            EXPECT_GE(expired.value().deadline, now - std::chrono::hours(48)) << header;
+            EXPECT_GE(expired.value().objective, now - std::chrono::hours(48)) << header;
+            EXPECT_TRUE(decodeWith(header, "12 s").has_error()) << header;
+            EXPECT_TRUE(decodeWith(header, "9223372036854775808").has_error()) << header;
+        }
+        EXPECT_TRUE(decodeWith("heatherdrift-priority", "4294967296").has_error());
+        EXPECT_TRUE(decodeWith("heatherdrift-priority", "-1").has_error());
+        for (const char* text : { "9223372036854775807", "-9223372036854775807" }) {
+            auto message = encodeAnswer({});
+            message.head.headers.set("heatherdrift-retry-after-us", text);
+            message.head.headers.set("heatherdrift-load-permille", text);
+            message.head.headers.set("heatherdrift-range-map", text);
+            const auto got = decodeAnswer(message);
+            ASSERT_TRUE(got.has_value());
+            EXPECT_GE(got.value().retryAfter, duration::zero()) << text;
+            EXPECT_LE(got.value().retryAfter, std::chrono::hours(1)) << text;
+            EXPECT_GE(got.value().load.load, 0) << text;
+            EXPECT_GE(got.value().load.mapVersion, 0) << text;
+        }
+    }
+
+    // Guards against loads of keys that do not exist and against loads whose sum is not finite; the conversion of a
+    // large number to a key was undefined.
+    TEST(MeshRows, LoadReportsWithOddNumbersAreRejected)
+    {
+        ASSERT_TRUE(parseLoadReport(R"({"life":"a@1","demand":0.9,"keys":[[1,0.5],[65535,2]]})").has_value());
+        for (const char* keys : { "[[1e300,1]]", "[[-1,1]]", "[[65536,1]]", "[[4294967297,1]]", "[[1,-1]]",
+                 "[[1,1e300]]", "[[1]]", "[[1,2,3]]", "[1]", "{}", "[[1,\"2\"]]" }) {
+            const auto text = R"({"life":"a@1","demand":0.9,"keys":)" + std::string(keys) + "}";
+            EXPECT_TRUE(parseLoadReport(text).has_error()) << keys;
+        }
+    }
+
+    // Guards against exceptions for any mutation of a valid row or message, and against rows that cannot be written as
+    // they were read.
+    RC_GTEST_PROP(MeshRows, MutatedTextsAreDecodedOrRejected, ())
+    {
+        const mesh_member member { "n1", "z1", { "10.0.0.1", 80 }, "s", "i@1", "i", 12, true };
+        forMutations(json::parse(toJson(member)), [](const std::string& text) {
+            const auto parsed = parseMember(text);
+            if (parsed.has_value())
+                RC_ASSERT(parseMember(toJson(parsed.value())).value() == parsed.value());
+        });
+        const load_report report { "a@1", 0.9, { { 1, 0.5 }, { 2, 0.25 } } };
+        forMutations(json::parse(toJson(report)), [](const std::string& text) {
+            const auto load = parseLoadReport(text);
+            if (load.has_value())
+                RC_ASSERT(parseLoadReport(toJson(load.value())).has_value());
+        });
+        const versioned_ranges ranges { 9, range_map().assign({ 1, 5 }, "a", 3) };
+        forMutations(json::parse(toJson(ranges)), [](const std::string& text) {
+            const auto map = parseVersionedRanges(text);
+            if (map.has_value())
+                RC_ASSERT(map.value().version > 0);
+        });
+    }
+
 } // namespace
 } // namespace heatherdrift
--- a/src/ranges/internal/range_map.cpp
+++ b/src/ranges/internal/range_map.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+    /// Longer than any silence that nodes write; leaves room for sums with points in time.
+    constexpr std::int64_t maxSilenceMs = 24 * 3600 * 1000;
+
     bool canMerge(const owned_range& left, const owned_range& right)
     {
         return left.owner == right.owner && left.fence == right.fence && left.releasing == right.releasing
@@ -97,11 +100,16 @@
         return lives[value.get<std::size_t>()];
     }
 
+    bool isNumberUpTo(const json& value, std::int64_t most)
+    {
+        return value.is_number_unsigned() && value.get<std::uint64_t>() <= static_cast<std::uint64_t>(most);
+    }
+
     result<owned_range> readRange(const json& value, const std::vector<life_name>& lives)
     {
-        if (!value.is_array() || value.size() != 7 || !value[0].is_number_unsigned() || !value[1].is_number_unsigned()
-            || !value[3].is_number_integer() || !value[4].is_array() || !value[5].is_string()
-            || !value[6].is_number_integer())
+        if (!value.is_array() || value.size() != 7 || !isNumberUpTo(value[0], lastKey)
+            || !isNumberUpTo(value[1], lastKey) || !isNumberUpTo(value[3], maxFence) || !value[4].is_array()
+            || !value[5].is_string() || !isNumberUpTo(value[6], maxSilenceMs))
             return notRun(error_code::bad_request, "malformed range in a range map");
         BOOST_OUTCOME_TRY(owner, readLife(value[2], lives));
         owned_range range { { value[0], value[1] }, owner, value[3], {}, value[5], value[6] };
@@ -281,7 +289,7 @@
     key_number next = 0;
     for (const auto& value : *list) {
         BOOST_OUTCOME_TRY(range, readRange(value, lives));
-        if (range.keys.first != next || range.keys.last < range.keys.first || range.keys.last > lastKey)
+        if (range.keys.first != next || range.keys.last < range.keys.first)
             return notRun(error_code::bad_request, "ranges of a range map must be ordered and without gaps");
         next = range.keys.last + 1;
         ranges.push_back(std::move(range));
--- a/src/ranges/range_map.h
+++ b/src/ranges/range_map.h
@@ -34,6 +34,7 @@
 std::int64_t startOf(const life_name&);
 /// Never decreases over the history of a key; backend servers reject a grant with a lower token than one seen before.
 using fencing_token = std::int64_t;
+constexpr fencing_token maxFence = std::int64_t { 1 } << 62; ///< Leaves room for higher tokens.
 
 /// Range of keys with the same owner.
 struct owned_range {
--- a/src/ranges/tests/range_map_test.cpp
+++ b/src/ranges/tests/range_map_test.cpp
@@ -1,3 +1,4 @@
+#include "base/tests/odd_json.h"
 #include "ranges/range_map.h"
 
 #include <gtest/gtest.h>
@@ -126,5 +127,35 @@
             EXPECT_TRUE(range_map::fromJson(text).has_error()) << text;
     }
 
+    // Guards against numbers that are cut to other values or overflow in later sums: a key of 4294967296 became 0, a
+    // silence of 1e18 ms overflowed when it was added to a point in time.
+    TEST(RangeMap, NumbersOutOfRangeAreRejected)
+    {
+        for (const char* range : { "[4294967296,65535,0,1,[],\"\",0]", "[0,4295032831,0,1,[],\"\",0]",
+                 "[0,65535,0,18446744073709551615,[],\"\",0]", "[0,65535,0,9223372036854775807,[],\"\",0]",
+                 "[0,65535,0,-1,[],\"\",0]", "[0,65535,0,1,[],\"\",-1]", "[0,65535,0,1,[],\"\",1000000000000000000]",
+                 "[0,65535,0,1,[],\"\",18446744073709551615]", "[0,65535,0,1e300,[],\"\",0]" }) {
+            const auto text = R"({"lives":["a"],"ranges":[)" + std::string(range) + "]}";
+            EXPECT_TRUE(range_map::fromJson(text).has_error()) << text;
+        }
+    }
+
+    // Guards against exceptions for any mutation of a valid map, and against maps whose text cannot be read again.
+    RC_GTEST_PROP(RangeMap, MutatedTextsAreDecodedOrRejected, ())
+    {
+        auto map = range_map().assign({ 0, lastKey }, "a", 1).assign({ 10, 20 }, "b", 2).withSilence(3000);
+        map = map.assign({ 15, 30 }, "c", 3).release("a", { 15, 15 }, "warm");
+        forMutations(json::parse(map.toJson()), [](const std::string& text) {
+            const auto got = range_map::fromJson(text);
+            if (got.has_error())
+                return;
+            RC_ASSERT(range_map::fromJson(got.value().toJson()).value() == got.value());
+            for (const auto& range : got.value().ranges()) {
+                RC_ASSERT(range.fence >= 0 && range.fence <= maxFence);
+                RC_ASSERT(range.silenceMs >= 0 && range.silenceMs <= 24 * 3600 * 1000);
+            }
+        });
+    }
+
 } // namespace
 } // namespace heatherdrift
