--- a/src/base/internal/json_reader.cpp
+++ b/src/base/internal/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "base/json_reader.h"
 
+#include <boost/locale/utf.hpp>
+
 namespace heatherdrift {
 
 namespace {
@@ -190,6 +192,17 @@
         m_failure = notRun(m_code, std::move(message));
 }
 
+bool isUtf8(std::string_view text)
+{
+    const auto* at = text.data();
+    const auto* end = at + text.size();
+    while (at != end) {
+        if (!boost::locale::utf::is_valid_codepoint(boost::locale::utf::utf_traits<char>::decode(at, end)))
+            return false;
+    }
+    return true;
+}
+
 result<json> parseJson(std::string_view text, error_code code)
 {
     duplicate_finder duplicates;
--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -85,6 +85,9 @@
     std::optional<failure> m_failure;
 };
 
+/// Whether the text may become a JSON string; writing any other throws.
+bool isUtf8(std::string_view text);
+
 /// Parses JSON text; the failure names the byte offset or a field that one object has twice.
 result<json> parseJson(std::string_view text, error_code);
 
--- a/src/base/tests/json_reader_test.cpp
+++ b/src/base/tests/json_reader_test.cpp
@@ -1,6 +1,7 @@
 #include "base/json_reader.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace heatherdrift {
 namespace {
@@ -64,5 +65,24 @@
         EXPECT_EQ(outcome.value().address, (endpoint { "::1", 80 }));
     }
 
+    // Guards against an exception when a text is written as JSON: isUtf8() has to accept exactly what the library does.
+    RC_GTEST_PROP(JsonText, IsUtf8AcceptsWhatCanBeWritten, ())
+    {
+        static const std::vector<std::string> pieces { "a", "\x7f", "\xc3\xa4", "\xe2\x82\xac", "\xf0\x9f\x98\x80",
+            "\x80", "\xc0\x80", "\xc3", "\xe2\x82", "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xf5", "\xff",
+            std::string(1, '\0') };
+        std::string text;
+        const int count = *rc::gen::inRange(0, 6);
+        for (int i = 0; i < count; ++i)
+            text += *rc::gen::elementOf(pieces);
+        bool isWritten = true;
+        try {
+            json(text).dump();
+        } catch (const json::exception&) {
+            isWritten = false;
+        }
+        RC_ASSERT(isUtf8(text) == isWritten);
+    }
+
 } // namespace
 } // namespace heatherdrift
