Reject addresses with a NUL byte

"10.0.0.1", NUL, any text and ":80" was accepted as an endpoint. inet_pton() reads a C string, so that the check of the IP address ended at the NUL byte, and the rest became part of the address. It compares unequal to the same address elsewhere, and the socket calls read another text than the log shows.

Ports out of range and other odd texts were rejected before.

--- a/src/base/internal/identifiers.cpp
+++ b/src/base/internal/identifiers.cpp
@@ -11,7 +11,8 @@
     bool isIpLiteral(int family, const std::string& text)
     {
         in6_addr address {};
-        return inet_pton(family, text.c_str(), &address) == 1;
+        // inet_pton() reads up to the first NUL byte.
+        return text.find('\0') == std::string::npos && inet_pton(family, text.c_str(), &address) == 1;
     }
 
     std::optional<std::uint16_t> parsePort(std::string_view text)
