--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -74,6 +74,8 @@
             "The store delivered rows of a table: bytes and time." },
         { log_event::table_read_failed, "table_read_failed", log_level::warning,
             "The store did not deliver a table or its changes." },
+        { log_event::table_row_rejected, "table_row_rejected", log_level::warning,
+            "A row of a table could not be decoded; the others are followed." },
         { log_event::store_unavailable, "store_unavailable", log_level::warning,
             "The table service does not answer; changes wait." },
         { log_event::store_available, "store_available", log_level::info, "The table service answers again." },
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -36,6 +36,7 @@
     table_fetch_failed = 1505,
     table_read = 1506,
     table_read_failed = 1507,
+    table_row_rejected = 1510,
     store_unavailable = 1601,
     store_available = 1602,
     store_write_resolved = 1603,
