Limit the nesting of JSON documents

A body of nested arrays was parsed to the end: 1 MiB took 42 MB of memory, 4 MiB 161 MB and 0.26 s of processor time, on machines with a tenth of a core. The library's copy recurses over the levels; copying the document of 1 MiB exceeded the stack (trial with a program of its own). No decoder was found that copies one today.

parseJson() stops at 64 levels, where the parser builds the document, so that neither memory nor time is spent.

--- a/src/base/internal/json_reader.cpp
+++ b/src/base/internal/json_reader.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// The library copies, compares and writes documents by recursion over their levels.
+    constexpr std::size_t maxNesting = 64;
+
     /// Builds a document and finds fields given twice in one object; json::parse() would keep the last one silently, so
     /// that an operator's change could be lost without an error. Its callbacks would find them too, but it then visits
     /// all elements of an array after each object in it.
@@ -71,6 +74,10 @@
 
         bool open(json::value_t type)
         {
+            if (m_open.size() == maxNesting) {
+                m_error = "objects and arrays are nested more than " + std::to_string(maxNesting) + " levels deep";
+                return false;
+            }
             m_open.push_back(place(json(type)));
             return true;
         }
--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -88,7 +88,7 @@
 /// Whether the text may become a JSON string; writing any other throws.
 bool isUtf8(std::string_view text);
 
-/// Parses JSON text; the failure names the byte offset or a field that one object has twice.
+/// Parses JSON text of at most 64 levels; the failure names the byte offset or a field that one object has twice.
 result<json> parseJson(std::string_view text, error_code);
 
 /// Called with an element of an array; returns its own failure, if any.
--- a/src/base/tests/json_reader_test.cpp
+++ b/src/base/tests/json_reader_test.cpp
@@ -58,6 +58,26 @@
         }
     }
 
+    // Guards against documents that take many times the memory of their text, and whose copy or comparison, which
+    // recurse over the levels, exceed the stack.
+    TEST(JsonReader, DeepNestingIsRejected)
+    {
+        const auto nestedObjects = [](std::size_t depth) {
+            std::string text;
+            for (std::size_t i = 0; i < depth; ++i)
+                text += "{\"a\":";
+            return text + "1" + std::string(depth, '}');
+        };
+        EXPECT_TRUE(parseJson(nestedArrays(64), error_code::bad_request).has_value());
+        EXPECT_TRUE(parseJson(nestedObjects(64), error_code::bad_request).has_value());
+        for (const auto& text : { nestedArrays(65), nestedObjects(65), nestedArrays(1 << 19), nestedObjects(1 << 17),
+                 std::string(1 << 20, '['), "{\"a\":1,\"b\":" + nestedArrays(1 << 19) + "}" }) {
+            const auto got = parseJson(text, error_code::bad_request);
+            ASSERT_TRUE(got.has_error()) << text.substr(0, 20);
+            EXPECT_EQ(got.error().message, "objects and arrays are nested more than 64 levels deep");
+        }
+    }
+
     TEST(JsonReader, LeavesAbsentOptionalFieldsAsTheyAre)
     {
         const auto outcome = parseSample(R"({"name":"a","address":"[::1]:80"})");
