Reject control characters in names that become headers

Names of routes and services of the configuration, and life, id and service of a member, become headers of requests between nodes and to backend servers. A line break in such a name, which JSON allows, ended the header, and what followed was read as further headers or as another request.

The decoders reject names with control characters; the HTTP module writes headers as they are.

--- a/src/base/internal/json_reader.cpp
+++ b/src/base/internal/json_reader.cpp
@@ -1,5 +1,6 @@
 #include "base/json_reader.h"
 
+#include <algorithm>
 #include <boost/locale/utf.hpp>
 
 namespace heatherdrift {
@@ -145,6 +146,15 @@
     target = field->get<std::string>();
 }
 
+void json_reader::readHeaderText(const char* name, std::string& target, presence when)
+{
+    std::string text = target;
+    readString(name, text, when);
+    if (!isHeaderText(text))
+        return reject(name, "expected a string without control characters");
+    target = std::move(text);
+}
+
 void json_reader::readBool(const char* name, bool& target, presence when)
 {
     const auto* field = find(name, when);
@@ -288,6 +298,13 @@
         m_failure = notRun(m_code, std::move(message));
 }
 
+bool isHeaderText(std::string_view text)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7f;
+    return std::ranges::all_of(text, [](unsigned char c) { return c >= firstPrintable && c != deleteCharacter; });
+}
+
 bool isUtf8(std::string_view text)
 {
     const auto* at = text.data();
--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -31,6 +31,8 @@
     json_reader(const json& value, std::string path, error_code);
 
     void readString(const char* name, std::string& target, presence = presence::required);
+    /// A string that may become the value of an HTTP header.
+    void readHeaderText(const char* name, std::string& target, presence = presence::required);
     void readBool(const char* name, bool& target, presence = presence::required);
     template <typename Integer>
     void readInteger(const char* name, Integer& target, integer_range range, presence when = presence::required)
@@ -85,6 +87,9 @@
     std::optional<failure> m_failure;
 };
 
+/// Whether the text has no control characters, so that it may become the value of an HTTP header.
+bool isHeaderText(std::string_view text);
+
 /// Whether the text may become a JSON string; writing any other throws.
 bool isUtf8(std::string_view text);
 
--- a/src/mesh/internal/member.cpp
+++ b/src/mesh/internal/member.cpp
@@ -24,12 +24,12 @@
     BOOST_OUTCOME_TRY(document, parseJson(text, error_code::bad_request));
     mesh_member member;
     json_reader reader(document, "", error_code::bad_request);
-    reader.readString("instance", member.node);
-    reader.readString("availability_zone", member.zone);
+    reader.readHeaderText("instance", member.node);
+    reader.readHeaderText("availability_zone", member.zone);
     reader.readEndpoint("address", member.address);
-    reader.readString("service", member.service);
-    reader.readString("life", member.life);
-    reader.readString("backend_server", member.backendId);
+    reader.readHeaderText("service", member.service);
+    reader.readHeaderText("life", member.life);
+    reader.readHeaderText("backend_server", member.backendId);
     reader.readInteger("slots", member.slots, slotCounts);
     reader.readBool("draining", member.isDraining);
     BOOST_OUTCOME_TRY(reader.finish());
--- a/src/mesh/tests/forward_protocol_test.cpp
+++ b/src/mesh/tests/forward_protocol_test.cpp
@@ -161,6 +161,20 @@
         }
     }
 
+    // Guards against a request within a request: names of a member become headers of requests, where a line break would
+    // start another header or request.
+    TEST(MeshRows, MembersWithControlCharactersInTheirNamesAreRejected)
+    {
+        const mesh_member member { "n1", "z1", { "10.0.0.1", 80 }, "s", "i@1", "i", 12, false };
+        for (const char* field : { "instance", "availability_zone", "service", "life", "backend_server" }) {
+            for (const char* value : { "a\r\nX: y", "a\n", "\x7f" }) {
+                auto row = json::parse(toJson(member));
+                row[field] = value;
+                EXPECT_TRUE(parseMember(row.dump()).has_error()) << field;
+            }
+        }
+    }
+
     // Guards against exceptions for any mutation of a valid row or message, and against rows that cannot be written as
     // they were read.
     RC_GTEST_PROP(MeshRows, MutatedTextsAreDecodedOrRejected, ())
