Keep waiting for a range map after an answer that is none

Requests for a key of another service were refused at once after a start, although the range map arrived moments later. An answer that could not be decoded, as that of a node which has no map yet (version 0), left an empty map as the copy. Calls for a key wait for a first copy, and an empty one names no owner.

The copy is now made only from a decoded map, and a rejected answer is logged.

--- a/src/mesh/internal/range_replicas.cpp
+++ b/src/mesh/internal/range_replicas.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "base/json_reader.h"
+#include "telemetry/log_event.h"
 
 namespace heatherdrift {
 
@@ -73,13 +74,18 @@
     request.target = target;
     request.headers.add(targetNodeHeader, node);
     fetch(m_directory.client(node), std::move(request), boot_clock::now() + fetchTimeout, answerLimitBytes,
-        [this, service](const result<http_response>& answer) {
+        [this, service, node](const result<http_response>& answer) {
             m_fetching.erase(service);
             if (answer.has_error() || answer.value().head.status != 200)
                 return;
             auto ranges = parseVersionedRanges(answer.value().body);
+            if (ranges.has_error()) {
+                logEvent(
+                    log_event::peer_message_rejected, { { "target", node }, { "reason", ranges.error().message } });
+                return;
+            }
             auto& copy = m_maps[service];
-            if (ranges.has_value() && ranges.value().version > copy.version)
+            if (ranges.value().version > copy.version)
                 copy = std::move(ranges).value();
         });
 }
