--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -31,6 +31,8 @@
     json_reader(const json& value, std::string path, error_code);
 
     void readString(const char* name, std::string& target, presence = presence::required);
+    /// A string that may become the value of an HTTP header.
+    void readHeaderText(const char* name, std::string& target, presence = presence::required);
     void readBool(const char* name, bool& target, presence = presence::required);
     template <typename Integer>
     void readInteger(const char* name, Integer& target, integer_range range, presence when = presence::required)
@@ -85,7 +87,21 @@
     std::optional<failure> m_failure;
 };
 
-/// Parses JSON text; the failure names the byte offset or a field that one object has twice.
+/// Whether the text has no control characters, so that it may become the value of an HTTP header.
+bool isHeaderText(std::string_view text);
+
+/// Whether the text may become a JSON string; writing any other throws.
+bool isUtf8(std::string_view text);
+
+/// Parses JSON text of at most 64 levels; the failure names the byte offset or a field that one object has twice.
 result<json> parseJson(std::string_view text, error_code);
 
+/// Called with an element of an array; returns its own failure, if any.
+using json_element_function = std::function<result<void>(const json&)>;
+
+/// Passes the elements of the array in one field of the document to the function and leaves them out of the result,
+/// which takes less memory and time than keeping them. Stops at the first failure of the function.
+result<json> parseJson(
+    std::string_view text, error_code, const char* arrayName, const json_element_function& onElement);
+
 } // namespace heatherdrift
--- a/src/mesh/internal/range_replicas.cpp
+++ b/src/mesh/internal/range_replicas.cpp
@@ -4,6 +4,7 @@
 #include "mesh/internal/peer_transfer.h"
 #include "mesh/internal/text_delta.h"
 #include "store/table_limits.h"
+#include "telemetry/log_event.h"
 
 #include <charconv>
 
@@ -76,13 +77,18 @@
     request.target = target;
     request.headers.add(targetNodeHeader, node);
     fetchWithProgress(m_directory.client(node), std::move(request), peerTransferLimits(),
-        [this, service](const result<http_response>& answer) {
+        [this, service, node](const result<http_response>& answer) {
             m_fetching.erase(service);
             if (answer.has_error() || answer.value().head.status != 200)
                 return;
             auto ranges = decodeRanges(answer.value().body);
+            if (ranges.has_error()) {
+                logEvent(
+                    log_event::peer_message_rejected, { { "target", node }, { "reason", ranges.error().message } });
+                return;
+            }
             auto& copy = m_maps[service];
-            if (ranges.has_value() && ranges.value().version > copy.version)
+            if (ranges.value().version > copy.version)
                 copy = std::move(ranges).value();
         });
 }
