Combine a store's era and number in its versions

A store that comes back from an older copy gives its versions out again. The version type is extended by the era, so that every comparison of versions holds across restores.

--- a/src/base/store_types.h
+++ b/src/base/store_types.h
@@ -8,8 +8,23 @@
 namespace heatherdrift {
 
 /// Version of a stored row; grows with every write of the row; 0 means that the row does not exist.
+///
+/// A store that can come back from an older copy gives its own numbers out again. Its versions consist of the store's
+/// era, which rises with each restore, and the store's number, so that versions of a later era are higher than all of
+/// earlier ones. Numbers of different eras must not be compared without their eras.
 using row_version = std::int64_t;
 
+/// Number of restores of a store, as it states itself.
+using store_era = std::int64_t;
+
+/// Bits of the store's number; versions and the fencing tokens made from them stay exact in a JSON number (53 bits) for
+/// 8,191 eras.
+constexpr int storeNumberBits = 40;
+
+constexpr row_version makeVersion(store_era era, std::int64_t number) { return (era << storeNumberBits) | number; }
+constexpr store_era eraOf(row_version version) { return version >> storeNumberBits; }
+constexpr std::int64_t numberOf(row_version version) { return version & ((std::int64_t { 1 } << storeNumberBits) - 1); }
+
 struct row_key {
     std::string table;
     std::string key;
