--- a/src/base/failure.h
+++ b/src/base/failure.h
@@ -30,6 +30,7 @@
     overloaded,
     quarantined,
     refused_by_backend,
+    store_restored, ///< The store came back from an older copy.
     store_unavailable,
     token_required,
     token_spent,
--- a/src/base/internal/failure.cpp
+++ b/src/base/internal/failure.cpp
@@ -14,7 +14,7 @@
         { verdict::ran, "ran" },
     } };
 
-    constexpr name_table<error_code, 25> errorNames { {
+    constexpr name_table<error_code, 26> errorNames { {
         { error_code::bad_request, "bad_request" },
         { error_code::cancelled, "cancelled" },
         { error_code::conflict, "conflict" },
@@ -34,6 +34,7 @@
         { error_code::overloaded, "overloaded" },
         { error_code::quarantined, "quarantined" },
         { error_code::refused_by_backend, "refused_by_backend" },
+        { error_code::store_restored, "store_restored" },
         { error_code::store_unavailable, "store_unavailable" },
         { error_code::token_required, "token_required" },
         { error_code::token_spent, "token_spent" },
--- a/src/store/watched_store.h
+++ b/src/store/watched_store.h
@@ -47,6 +47,11 @@
 /// Port to a table service whose versions grow over all rows and whose changes can be watched. All functions return at
 /// once and call back on the caller's event loop, never before they return. Failures: `store_unavailable` with
 /// not_run (it had no effect) or may_have_run (its answer was lost; it may still take effect, seconds later).
+///
+/// The store may come back from an older copy: what was written since is gone, and its numbers are given out again. All
+/// versions contain the store's era (makeVersion), so that they keep growing. Watching from a version of an earlier era
+/// fails with `not_found`. A write whose checks name versions of an earlier era fails with `store_restored` and the
+/// verdict may_have_run: its conditions were compared with numbers of another era.
 class watched_store {
 public:
     virtual ~watched_store() = default;
@@ -59,6 +64,10 @@
     virtual void watch(std::string table, row_version after, duration wait, time_point deadline,
         std::function<void(result<row_snapshot>)>)
         = 0;
+
+    /// Sets a function that is called when an answer shows a later era than those before, before the answer is
+    /// delivered.
+    virtual void onRestored(std::function<void(store_era)>) { }
 };
 
 } // namespace heatherdrift
