Keep the versions of a restored store apart by its era

Cause, on the side of the client: it takes the store's numbers for versions. A restored store gives its numbers out again, so an old number may exist with another meaning: a watch from it misses changes, a condition on it may hold by chance, and a late answer of before the restore looks newer than what came after it.

The client now reads the header Store-Era of every answer and makes versions of the era and the number. It rejects answers of an era before the latest one seen, reports a lost history for a watch from an earlier era, fails a write whose checks name one with store_restored, starts a read of several pages again if the era changes between them, and tells of a later era before it delivers the answer that shows it. Watches and writes that are known to name an earlier era are not sent. The comparison of versions then holds across restores, since each answer and each version bears the era it belongs to.

ErasAndNumbersOutOfRangeAreRejected also showed that a "Ver" of another JSON type raised an exception that nothing caught; it is a malformed answer now.

--- a/src/mesh/internal/mesh_metrics.cpp
+++ b/src/mesh/internal/mesh_metrics.cpp
@@ -108,4 +108,6 @@
     m_store->watch(std::move(table), after, wait, deadline, counted("watch", std::move(done)));
 }
 
+void counting_store::onRestored(std::function<void(store_era)> restored) { m_store->onRestored(std::move(restored)); }
+
 } // namespace heatherdrift
