Follow the tables of a restored store

Cause: a copy of a table keeps the row with the higher number, and a table watcher takes a lower number of the store for an outdated answer, so a node did not follow the store until its numbers had passed those of before the restore. The same class of fault affects empty tables: without rows the copy's newest change stayed that of before, so no other node fetched the restored table, and the removals found by reading it were dropped.

A copy now belongs to an era. Changes of an earlier era, and single changes of a later one, are not applied; a node of an earlier era is sent the whole table. Since the era is the upper part of every version, equal newest changes still mean equal rows.

The store's client tells all watchers of a later era. Readers read their tables within 0.15 s, spread at random, also while a watch is pending, whose answer is then ignored; the other nodes keep their schedule and get the tables from readers.

--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -130,6 +130,7 @@
                   { [this](const instance_id& node) { m_watch.probe(node); } })
             , m_stopPoll(base, [this] { stopIfDone(); })
         {
+            m_store->onRestored([this](store_era era) { handleRestore(era); });
         }
 
         result<void> listen()
@@ -264,6 +265,13 @@
             m_balancer.start();
         }
 
+        void handleRestore(store_era era)
+        {
+            logEvent(log_event::store_restored, { { "era", std::to_string(era) } });
+            for (auto* watcher : { &m_configurationWatcher, &m_memberWatcher, &m_rangeWatcher })
+                watcher->onStoreRestored(era);
+        }
+
         void handleReadiness(const http_exchange_ptr& exchange)
         {
             if (exchange->request().target != m_port.readinessPath)
--- a/src/mesh/internal/table_copy.cpp
+++ b/src/mesh/internal/table_copy.cpp
@@ -22,7 +22,8 @@
 
 std::vector<row_change> table_copy::replace(const row_snapshot& snapshot)
 {
-    row_version newest = m_newestChange;
+    // After a restore the table may be empty or have only rows with low numbers. The era alone makes it newer.
+    row_version newest = std::max(m_newestChange, makeVersion(eraOf(snapshot.version), 0));
     std::set<row_key> present;
     for (const auto& row : snapshot.rows) {
         newest = std::max(newest, row.version);
@@ -36,7 +37,9 @@
     }
     m_removalHistoryStart = newest;
     m_version = std::max(m_version, snapshot.version);
-    return apply(rows);
+    auto changes = apply(rows);
+    m_newestChange = newest;
+    return changes;
 }
 
 std::vector<row_change> table_copy::merge(const row_snapshot& snapshot)
@@ -47,7 +50,8 @@
 
 std::vector<row_change> table_copy::applyUpdate(const table_update& update)
 {
-    if (update.rows.version <= m_newestChange)
+    const bool isOtherEra = eraOf(update.rows.version) > era();
+    if (update.rows.version <= m_newestChange || (isOtherEra && !update.isWhole))
         return {};
     return update.isWhole ? replace(update.rows) : merge(update.rows);
 }
--- a/src/mesh/internal/table_copy.h
+++ b/src/mesh/internal/table_copy.h
@@ -18,6 +18,9 @@
 ///
 /// Two copies with the same newest change are equal. This requires that each removal of a row changes another row of
 /// the table in the same write; otherwise a node that reads the table later could not detect the removal.
+///
+/// Once the store has been restored, a whole snapshot of the later era replaces all rows, also by older content.
+/// Changes of an earlier era are ignored.
 class table_copy {
 public:
     /// Applies a snapshot of the whole table and removes rows that it does not contain. Returns the changed rows.
@@ -31,7 +34,9 @@
     table_update updateAfter(row_version newestChange) const;
     /// Version of the store up to which the copy contains all changes.
     row_version version() const { return m_version; }
-    /// Version of the newest change of this table.
+    /// Era of the store to which all rows belong.
+    store_era era() const { return eraOf(m_version); }
+    /// Version of the newest change of this table, at least the first one of the era.
     row_version newestChange() const { return m_newestChange; }
 
 private:
--- a/src/mesh/internal/table_watcher.cpp
+++ b/src/mesh/internal/table_watcher.cpp
@@ -28,7 +28,8 @@
 
 watch_state table_watcher::state() const
 {
-    return { m_hooks.place(), m_currentAt, m_answeredAt, m_failures, m_hasChanges };
+    return { m_hooks.place(), m_currentAt, m_answeredAt, m_failures, m_hasChanges,
+        isOfEarlierEra() ? m_restoredAt : time_point() };
 }
 
 watch_request table_watcher::next() const { return nextRequest(m_timing, state(), m_jitter); }
@@ -45,7 +46,7 @@
     const auto request = next();
     if (request.at > boot_clock::now())
         return m_timer.startAt(request.at);
-    if (m_needsRead)
+    if (needsRead())
         return read();
     watch(request.wait);
 }
@@ -53,7 +54,10 @@
 void table_watcher::read()
 {
     const auto now = boot_clock::now();
+    ++m_request;
+    m_isReading = true;
     m_store.read(m_table, now + m_timing.readTimeout, [this, now](const result<row_snapshot>& snapshot) {
+        m_isReading = false;
         logAnswer(now, snapshot);
         if (snapshot.has_error())
             return handleFailure(snapshot.error());
@@ -61,9 +65,10 @@
         if (snapshot.value().version < m_copy.version())
             return handleFailure({ verdict::not_run, error_code::store_unavailable,
                 "the store returned an older version of the table" });
+        const bool isOtherEra = m_isRead && eraOf(snapshot.value().version) > m_copy.era();
         m_needsRead = false;
         m_isRead = true;
-        notifyRows(m_copy.replace(snapshot.value()));
+        notifyRows(m_copy.replace(snapshot.value()), isOtherEra);
         if (m_hooks.onRead)
             m_hooks.onRead();
         handleAnswer(!snapshot.value().rows.empty(), now);
@@ -74,13 +79,19 @@
 {
     const auto now = boot_clock::now();
     const auto slack = std::max<duration>(watchSlack, m_timing.readTimeout - wait);
-    m_store.watch(
-        m_table, m_copy.version(), wait, now + wait + slack, [this, wait, now](const result<row_snapshot>& changes) {
+    m_store.watch(m_table, m_copy.version(), wait, now + wait + slack,
+        [this, wait, now, request = ++m_request](const result<row_snapshot>& changes) {
             logAnswer(now, changes);
+            if (request != m_request)
+                return;
             if (changes.has_error())
                 return handleFailure(changes.error());
+            // Another node has moved the copy to a later era meanwhile.
+            if (eraOf(changes.value().version) < m_copy.era())
+                return handleFailure({ verdict::not_run, error_code::store_unavailable,
+                    "the store returned changes of an earlier era" });
             const bool hasChanges = !changes.value().rows.empty();
-            notifyRows(m_copy.merge(changes.value()));
+            notifyRows(m_copy.merge(changes.value()), false);
             // Without a change, the store responded after the whole wait, so the copy was current at its end.
             handleAnswer(hasChanges, hasChanges ? now : now + wait);
         });
@@ -126,16 +137,37 @@
 
 bool table_watcher::needsReader(time_point now) const { return m_isRead && isReaderRequestDue(m_timing, state(), now); }
 
-void table_watcher::notifyRows(const std::vector<row_change>& changes)
+void table_watcher::notifyRows(const std::vector<row_change>& changes, bool isOtherEra)
 {
-    for (const auto& row : changes)
-        m_hooks.onRow(row);
+    for (const auto& row : changes) {
+        const bool isMissing = isOtherEra && !row.value && m_hooks.onMissing;
+        (isMissing ? m_hooks.onMissing : m_hooks.onRow)(row);
+    }
+    if (isOtherEra && m_hooks.onReplaced)
+        m_hooks.onReplaced(m_copy.era());
 }
 
 void table_watcher::applyUpdate(const table_update& update)
 {
-    if (m_isRead)
-        notifyRows(m_copy.applyUpdate(update));
+    if (!m_isRead)
+        return;
+    const auto previousEra = m_copy.era();
+    const auto changes = m_copy.applyUpdate(update);
+    notifyRows(changes, m_copy.era() > previousEra);
+}
+
+void table_watcher::onStoreRestored(store_era era)
+{
+    m_storeEra = std::max(m_storeEra, era);
+    m_restoredAt = boot_clock::now();
+    // The answer to a read in progress is either of the later era or a failure.
+    if (!m_isRead || m_isReading || !isOfEarlierEra())
+        return;
+    // A watch from a version of the earlier era may not be answered for a long time, so its answer is not awaited.
+    ++m_request;
+    if (m_hooks.place().isReader())
+        m_failures = 0;
+    schedule();
 }
 
 void table_watcher::confirm(time_point at)
--- a/src/mesh/internal/table_watcher.h
+++ b/src/mesh/internal/table_watcher.h
@@ -13,6 +13,11 @@
     std::function<void(bool isAvailable)> onAvailability;
     std::function<fleet_place()> place;
     random_function random;
+    /// Called instead of onRow for a row that is missing in the first copy of a later era: the restore may have lost
+    /// it, so this is no proof of a removal. If not set, onRow is called.
+    std::function<void(const row_change&)> onMissing {};
+    /// Called after the rows of a later era of the store have replaced the copy.
+    std::function<void(store_era)> onReplaced {};
 };
 
 /// Keeps a copy of one table of the store up to date: reads it once, then applies changes from the store or from other
@@ -35,6 +40,8 @@
     void applyUpdate(const table_update&);
     /// Called when another node has no newer change and its copy matched the store at this time.
     void confirm(time_point);
+    /// Called when the store is of a later era than before, so that the table has to be read anew.
+    void onStoreRestored(store_era);
 
 private:
     void schedule();
@@ -44,7 +51,10 @@
     void handleAnswer(bool hasChanges, time_point currentAt);
     void handleFailure(const failure&);
     void logAnswer(time_point askedAt, const result<row_snapshot>&) const;
-    void notifyRows(const std::vector<row_change>&);
+    void notifyRows(const std::vector<row_change>&, bool isOtherEra);
+    /// Whether no changes lead from the copy to the rows of the store.
+    bool needsRead() const { return m_needsRead || isOfEarlierEra(); }
+    bool isOfEarlierEra() const { return m_copy.era() < m_storeEra; }
     void setAvailable(bool);
     watch_state state() const;
     watch_request next() const;
@@ -58,6 +68,10 @@
     time_point m_answeredAt {};
     int m_failures = 0;
     bool m_hasChanges = false;
+    int m_request = 0; ///< Number of the last request; answers to earlier ones are ignored.
+    bool m_isReading = false; ///< The last request is a read whose answer is pending.
+    store_era m_storeEra = 0; ///< Latest era that the store has shown.
+    time_point m_restoredAt {}; ///< Time at which it did so.
     bool m_needsRead = true;
     bool m_isRead = false;
     bool m_isAvailable = true;
--- a/src/mesh/internal/watch_schedule.cpp
+++ b/src/mesh/internal/watch_schedule.cpp
@@ -19,6 +19,8 @@
     constexpr auto maxWait = std::chrono::seconds(20); ///< Stores end longer waits themselves.
     /// Spreads the requests of nodes that lost their readers: the first responses reach the other nodes in this time.
     constexpr auto maxAgeJitter = std::chrono::milliseconds(250);
+    /// Spreads the first reads after a restore, when many nodes see the later era at the same moment.
+    constexpr auto maxRestoreJitter = std::chrono::milliseconds(150);
 
     duration backoff(const watch_state& state)
     {
@@ -36,10 +38,14 @@
     const auto maxAgeEnd = state.currentAt == time_point()
         ? time_point()
         : state.currentAt + timing.maxAge + scaled(maxAgeJitter, random);
+    // Readers replace an outdated copy at once, since the other nodes get the new rows from them.
+    const bool isReplacing = state.restoredAt != time_point() && state.place.isReader();
     if (state.failures > 0) {
         const auto retryAt = state.answeredAt + scaled(backoff(state), 0.75 + random / 4);
-        return { std::max(retryAt, maxAgeEnd), {} };
+        return { isReplacing ? retryAt : std::max(retryAt, maxAgeEnd), {} };
     }
+    if (isReplacing)
+        return { state.restoredAt + scaled(maxRestoreJitter, random), {} };
     if (!state.place.isReader())
         return { maxAgeEnd, {} };
     const auto at = state.answeredAt + timing.batchTime;
--- a/src/mesh/internal/watch_schedule.h
+++ b/src/mesh/internal/watch_schedule.h
@@ -37,6 +37,8 @@
     time_point answeredAt {}; ///< End of the node's own last request to the store.
     int failures = 0; ///< Failed requests since the last response of the store.
     bool hasChanges = false; ///< The last response of the store contained changes.
+    /// Time at which the store was found to be of a later era than the copy; zero if it is not.
+    time_point restoredAt {};
 };
 
 /// A request to the store for changes of a table.
--- a/src/mesh/tests/table_copy_test.cpp
+++ b/src/mesh/tests/table_copy_test.cpp
@@ -46,14 +46,77 @@
             behind.applyUpdate(update), (std::vector<row_change> { row("removals", 5), row("b", 5, std::nullopt) }));
     }
 
+    // Guards against rows that stay in the copy after the store has lost them, against content that stays because the
+    // store's older one bears a lower number, and against an empty table that looks like the one before the restore.
+    TEST(TableCopyTest, RestoredTableReplacesTheCopy)
+    {
+        table_copy copy;
+        copy.replace({ { row("a", makeVersion(1, 8), "new"), row("b", makeVersion(1, 9)) }, makeVersion(1, 9) });
+        EXPECT_EQ(copy.replace({ { row("a", makeVersion(2, 3), "old") }, makeVersion(2, 4) }),
+            (std::vector<row_change> {
+                row("a", makeVersion(2, 3), "old"), row("b", makeVersion(2, 3), std::nullopt) }));
+        EXPECT_EQ(copy.replace({ {}, makeVersion(3, 1) }),
+            (std::vector<row_change> { row("a", makeVersion(3, 0), std::nullopt) }));
+        EXPECT_EQ(copy.version(), makeVersion(3, 1));
+        EXPECT_EQ(copy.newestChange(), makeVersion(3, 0));
+    }
+
+    // Guards against a node that was stopped, frozen or cut off while the store was restored: it must not pass on its
+    // rows, and has to get the restored ones, even if there are none.
+    TEST(TableCopyTest, NodeThatMissedARestoreGetsTheRestoredTable)
+    {
+        table_copy behind;
+        behind.replace({ { row("a", makeVersion(1, 8)), row("b", makeVersion(1, 9)) }, makeVersion(1, 9) });
+        table_copy reader;
+        reader.replace({ {}, makeVersion(2, 5) });
+        EXPECT_TRUE(reader.applyUpdate(behind.updateAfter(reader.newestChange())).empty());
+        EXPECT_TRUE(reader.applyUpdate(behind.updateAfter(0)).empty());
+        const auto update = reader.updateAfter(behind.newestChange());
+        EXPECT_TRUE(update.isWhole);
+        EXPECT_EQ(behind.applyUpdate(update).size(), 2u);
+        EXPECT_EQ(behind.newestChange(), reader.newestChange());
+    }
+
+    // Guards against single changes of a restored table that are added to the rows of before.
+    TEST(TableCopyTest, ChangesOfALaterEraDoNotExtendTheCopy)
+    {
+        table_copy copy;
+        copy.replace({ { row("a", makeVersion(1, 8)) }, makeVersion(1, 9) });
+        EXPECT_TRUE(copy.applyUpdate({ { { row("b", makeVersion(2, 3)) }, makeVersion(2, 3) }, false }).empty());
+        EXPECT_EQ(copy.newestChange(), makeVersion(1, 8));
+    }
+
     /// The table in the store, with the row that each removal changes.
     struct table_model {
         std::map<row_key, row_change> rows;
         row_version version = 0;
+        std::vector<std::map<row_key, row_change>> earlier; ///< Rows after each number of this era.
+
+        /// Goes back by some numbers, which are given out again.
+        void restore(std::size_t numbers)
+        {
+            const auto kept = earlier.size() - std::min(earlier.size(), numbers);
+            if (kept < earlier.size())
+                rows = earlier[kept];
+            earlier.resize(kept);
+            const auto era = eraOf(version) + 1;
+            const auto number = numberOf(version) - std::min<row_version>(numberOf(version), numbers);
+            for (auto& before : earlier)
+                toEra(before, era);
+            toEra(rows, era);
+            version = makeVersion(era, number);
+        }
+
+        static void toEra(std::map<row_key, row_change>& rows, store_era era)
+        {
+            for (auto& [key, one] : rows)
+                one.version = makeVersion(era, numberOf(one.version));
+        }
 
         void change(int key, bool isRemoval)
         {
             const auto name = std::string(1, static_cast<char>('a' + key));
+            earlier.push_back(rows);
             ++version;
             rows[row(name, 0).key] = isRemoval ? row(name, version, std::nullopt) : row(name, version);
             if (isRemoval)
@@ -95,7 +158,7 @@
 
     // Guards against two nodes with the same newest change but different rows, so that neither asks the other, and
     // against a row that reverts to an older version, for any sequence of updates from the store and from the other
-    // node.
+    // node and of restores of the store.
     RC_GTEST_PROP(TableCopyProperty, EqualNewestChangesMeanEqualRows, ())
     {
         table_model table;
@@ -103,14 +166,19 @@
         for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100))) {
             auto& node = nodes[step % 2];
             const auto& other = nodes[1 - step % 2];
-            if (step < 50)
+            const bool isOfTablesEra = eraOf(node.version()) == eraOf(table.version);
+            const auto before = node.newestChange();
+            if (step < 45)
                 table.change(step % 5, step % 3 == 0);
+            else if (step < 50)
+                table.restore(static_cast<std::size_t>(step - 45) * 2);
             else if (step < 65)
                 node.replace(table.whole());
-            else if (step < 80 && node.version() > 0)
+            else if (step < 80 && node.version() > 0 && isOfTablesEra)
                 node.merge(table.changesAfter(node.version()));
             else if (node.version() > 0)
                 node.applyUpdate(other.updateAfter(node.newestChange()));
+            RC_ASSERT(node.newestChange() >= before);
             if (nodes[0].newestChange() == nodes[1].newestChange())
                 RC_ASSERT(liveRows(nodes[0]) == liveRows(nodes[1]));
         }
--- a/src/mesh/tests/table_exchange_test.cpp
+++ b/src/mesh/tests/table_exchange_test.cpp
@@ -120,6 +120,21 @@
         EXPECT_EQ(askingNode.exchange.place(), (fleet_place { 2, 4 }));
     }
 
+    // Guards against nodes that keep the rows of before a restore, since the restored table has lower numbers or no
+    // rows, and against the restored table being replaced by those rows.
+    TEST_F(TableExchangeTest, RestoredTablesSpreadAndOldOnesDoNot)
+    {
+        answeringNode.configuration.applyUpdate({ { { row(makeVersion(1, 2)) }, makeVersion(1, 2) }, true });
+        answeringNode.members.applyUpdate({ { {}, makeVersion(1, 0) }, true });
+        answeringNode.exchange.handleStatements("n3", *askingNode.exchange.statement(), boot_clock::now());
+        askingNode.exchange.handleStatements("n4", *answeringNode.exchange.statement(), boot_clock::now());
+        loop.runUntil(
+            [&] { return askingNode.configuration.copy().era() == 1 && askingNode.members.copy().era() == 1; });
+        EXPECT_EQ(askingNode.seen.back(), row(makeVersion(1, 2)));
+        EXPECT_EQ(answeringNode.configuration.copy().newestChange(), makeVersion(1, 2));
+        EXPECT_EQ(askingNode.exchange.statement()->members.newestChange, makeVersion(1, 0));
+    }
+
     // Guards against a malformed response of another node that corrupts the table.
     TEST(TableUpdate, RoundTripsOrIsRejected)
     {
--- a/src/mesh/tests/table_watcher_test.cpp
+++ b/src/mesh/tests/table_watcher_test.cpp
@@ -39,7 +39,8 @@
                     [this] {
                         return fleet_place { rank, rank + 1 };
                     },
-                    [] { return 0.0; } })
+                    [] { return 0.0; }, [this](const row_change& row) { missing.push_back(row); },
+                    [this](store_era era) { replacedBy.push_back(era); } })
         {
             watcher.start();
         }
@@ -52,6 +53,12 @@
             return timing;
         }
 
+        void waitForWatch()
+        {
+            while (store.watches.empty())
+                event_base_loop(base.get(), EVLOOP_ONCE);
+        }
+
         void answerRead(const result<row_snapshot>& value) { answer(store.reads, value); }
         void answerWatch(const result<row_snapshot>& value) { answer(store.watches, value); }
 
@@ -73,6 +80,8 @@
         manual_store store;
         std::vector<row_change> seen;
         std::vector<bool> availability;
+        std::vector<row_change> missing;
+        std::vector<store_era> replacedBy;
         int wholeReads = 0;
         std::size_t rank = 0;
         table_watcher watcher;
@@ -168,5 +177,89 @@
         EXPECT_EQ(availability, (std::vector<bool> { false, true }));
     }
 
+    // Guards against a copy that follows a restored store only when a pending watch ends, 20 s later for some tables,
+    // and against the answer to that watch bringing back rows of before the restore.
+    TEST_F(TableWatcherTest, RestoredTableIsReadWhileAWatchIsPending)
+    {
+        answerRead(row_snapshot { { row("a", makeVersion(1, 8)) }, makeVersion(1, 9) });
+        waitForWatch();
+        watcher.onStoreRestored(2);
+        answerRead(row_snapshot { { row("a", makeVersion(2, 3), "old") }, makeVersion(2, 4) });
+        answerWatch(row_snapshot { { row("a", makeVersion(1, 10)) }, makeVersion(1, 10) });
+        waitForWatch();
+        EXPECT_EQ(store.watchedAfter, makeVersion(2, 4));
+        EXPECT_EQ(store.watches.size(), 1u);
+        EXPECT_EQ(seen, (std::vector<row_change> { row("a", makeVersion(1, 8)), row("a", makeVersion(2, 3), "old") }));
+    }
+
+    // Guards against a later copy that is taken for complete because the restore was reported again, or against reading
+    // a table twice that the first read after the restore already found.
+    TEST_F(TableWatcherTest, RestoredTableIsReadOnce)
+    {
+        answerRead(row_snapshot { { row("a", makeVersion(1, 8)) }, makeVersion(1, 9) });
+        waitForWatch();
+        watcher.onStoreRestored(2);
+        answerRead(row_snapshot { { row("a", makeVersion(2, 3)) }, makeVersion(2, 4) });
+        watcher.onStoreRestored(2);
+        answerWatch(notRun(error_code::store_unavailable, "down"));
+        answerWatch(row_snapshot { {}, makeVersion(2, 4) });
+        waitForWatch();
+        EXPECT_TRUE(store.reads.empty());
+    }
+
+    // Guards against all nodes of a large system reading all tables at the moment of a restore: those that do not poll
+    // the store get the restored table from the others.
+    TEST_F(TableWatcherTest, NodeThatGotTheRestoredTableDoesNotReadIt)
+    {
+        rank = 40;
+        answerRead(row_snapshot { { row("a", makeVersion(1, 8)) }, makeVersion(1, 9) });
+        watcher.onStoreRestored(2);
+        watcher.applyUpdate({ { { row("b", makeVersion(2, 3)) }, makeVersion(2, 3) }, true });
+        waitForWatch();
+        EXPECT_EQ(store.watchedAfter, makeVersion(2, 3));
+        EXPECT_TRUE(store.reads.empty());
+    }
+
+    // Guards against a node without updates from others that goes on watching from a version of before the restore.
+    TEST_F(TableWatcherTest, NodeWithoutUpdatesReadsTheRestoredTable)
+    {
+        rank = 40;
+        answerRead(row_snapshot { { row("a", makeVersion(1, 8)) }, makeVersion(1, 9) });
+        watcher.onStoreRestored(2);
+        answerRead(row_snapshot { { row("b", makeVersion(2, 3)) }, makeVersion(2, 3) });
+        EXPECT_EQ(watcher.copy().version(), makeVersion(2, 3));
+    }
+
+    // Guards against a row that counts as removed because the restored store has lost it, and against a missed restore
+    // when other nodes deliver its table.
+    TEST_F(TableWatcherTest, RowsLostByARestoreAreNotReportedAsRemoved)
+    {
+        const table_update restored { { { row("b", makeVersion(2, 3)) }, makeVersion(2, 3) }, true };
+        answerRead(row_snapshot { { row("a", makeVersion(1, 8)) }, makeVersion(1, 9) });
+        EXPECT_TRUE(replacedBy.empty()) << "the first read of a process replaces nothing";
+        watcher.applyUpdate(restored);
+        EXPECT_EQ(seen, (std::vector<row_change> { row("a", makeVersion(1, 8)), row("b", makeVersion(2, 3)) }));
+        EXPECT_EQ(missing, (std::vector<row_change> { row("a", makeVersion(2, 3), std::nullopt) }));
+        EXPECT_EQ(replacedBy, (std::vector<store_era> { 2 }));
+        const row_change removal = row("b", makeVersion(2, 7), std::nullopt);
+        watcher.applyUpdate({ { { removal, row("removals", makeVersion(2, 7)) }, makeVersion(2, 7) }, false });
+        EXPECT_EQ(missing.size(), 1u);
+        EXPECT_EQ(seen.at(2), removal);
+    }
+
+    // Guards against an answer of before a restore that makes a restored copy count as current.
+    TEST_F(TableWatcherTest, ChangesOfAnEarlierEraAreRejected)
+    {
+        rank = 40;
+        answerRead(row_snapshot { { row("a", makeVersion(1, 8)) }, makeVersion(1, 9) });
+        waitForWatch();
+        watcher.applyUpdate({ { { row("a", makeVersion(2, 3)) }, makeVersion(2, 3) }, true });
+        const auto before = watcher.currentAt();
+        answerWatch(row_snapshot { { row("a", makeVersion(1, 10)) }, makeVersion(1, 10) });
+        EXPECT_EQ(watcher.currentAt(), before);
+        EXPECT_EQ(seen.back(), row("a", makeVersion(2, 3)));
+        EXPECT_EQ(availability, (std::vector<bool> { false }));
+    }
+
 } // namespace
 } // namespace heatherdrift
--- a/src/mesh/tests/watch_schedule_test.cpp
+++ b/src/mesh/tests/watch_schedule_test.cpp
@@ -181,5 +181,24 @@
         EXPECT_LE(fleet.maxAge(), milliseconds(2000));
     }
 
+    // Guards against a reader that replaces its copy only after its usual wait, up to 15 s, and against reads of all
+    // nodes at the moment of a restore.
+    TEST(WatchSchedule, ReadersReplaceARestoredTableAtOnce)
+    {
+        watch_timing timing;
+        timing.batchTime = seconds(15);
+        watch_state state { { 0, 100 }, start, start };
+        state.restoredAt = start + seconds(1);
+        EXPECT_EQ(nextRequest(timing, state, 0).at, state.restoredAt);
+        EXPECT_LT(nextRequest(timing, state, 0.99).at, state.restoredAt + milliseconds(200));
+        state.failures = 1;
+        state.answeredAt = state.restoredAt;
+        EXPECT_LE(nextRequest(timing, state, 0.99).at, state.restoredAt + milliseconds(100));
+        EXPECT_GT(nextRequest(timing, state, 0).at, state.restoredAt);
+        state.place.rank = 50;
+        state.failures = 0;
+        EXPECT_GE(nextRequest(timing, state, 0).at, state.currentAt + timing.maxAge);
+    }
+
 } // namespace
 } // namespace heatherdrift
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -79,6 +79,8 @@
         { log_event::store_available, "store_available", log_level::info, "The table service answers again." },
         { log_event::store_write_resolved, "store_write_resolved", log_level::info,
             "A write with a lost answer was read back." },
+        { log_event::store_restored, "store_restored", log_level::warning,
+            "The table service came back from an older copy; tables are read anew." },
         { log_event::peer_message_rejected, "peer_message_rejected", log_level::warning,
             "A control message could not be decoded; its connection was closed." },
         { log_event::peer_lost, "peer_lost", log_level::warning,
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -39,6 +39,7 @@
     store_unavailable = 1601,
     store_available = 1602,
     store_write_resolved = 1603,
+    store_restored = 1604,
     peer_message_rejected = 1701,
     backend_announced = 1801,
     backend_lost = 1802,
