Keep members that a restore of the store has lost

After a restore of the store, requests for a backend server were refused although it served: the row that its node had written in the lost seconds was missing, so all others took the node for removed, or had an older state (an earlier life, no drain), so they sent requests that it refused.

Cause: the member registry takes each difference of the table for an act of a node. After a restore a missing row is no proof that the node has left, an older row no news, and the node itself noticed the loss only if its copy had contained the row before; a row that it had written but not yet seen stayed lost.

Now a row that is missing in the first copy of a later era leaves the known member in place. The first row of a later era does not replace what is known if it may be older: an earlier life, no life, the same life without its drain or at another address. The node writes its row again if the first copy of a later era lacks it or has another content, and if a write was confirmed in an earlier era. A node that has written that it has no backend server does not adopt one from the restored row. A node that had really left stops answering and is removed by the detection of lost nodes.

Evidence, with the old member_registry.cpp (missing rows as removals, later eras not noticed):

NodeWhoseRowWasLostByARestoreStaysKnown: directory.find("n2") is NULL OlderRowOfARestoreDoesNotUndoWhatIsKnown: isDraining is false; life is "i3@4", expected "i3@9" OwnRowLostByARestoreIsWrittenAgain: 1 write, expected 2 WriteOfTheOwnRowInAnEarlierEraIsRepeated: does not end, as the write is not repeated RestoredOwnRowIsNotAdoptedOnceReplaced: life is "i1@2", expected none

OwnRowThatARestoreHasKeptIsNotWritten passes before and after; it guards against needless writes.

--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -12,6 +12,17 @@
     constexpr auto writeBackoff = std::chrono::milliseconds(300);
     constexpr auto firstHeartbeatTimeout = std::chrono::seconds(3); ///< Three usual heartbeat intervals.
 
+    /// Whether a restored row may be older than what is known of the same node. A life never ends its drain, and lives
+    /// of one node follow each other.
+    bool mayBeOlder(const mesh_member& row, const mesh_member& known)
+    {
+        if (known.life.empty())
+            return false;
+        if (row.life == known.life)
+            return (known.isDraining && !row.isDraining) || row.address != known.address;
+        return row.life.empty() || startOf(row.life) < startOf(known.life);
+    }
+
 } // namespace
 
 member_registry::member_registry(event_base* base, const mesh_settings& settings, watched_store& store,
@@ -38,8 +49,10 @@
     const instance_id& node = row.key.key;
     if (node == lastRemovalKey)
         return;
-    if (node == m_settings.node)
+    if (node == m_settings.node) {
+        m_ownRowVersion = row.version;
         return ownRowChanged(row);
+    }
     if (!row.value)
         return m_directory.remove(node);
     const auto member = parseMember(*row.value);
@@ -48,6 +61,11 @@
         logEvent(log_event::peer_message_rejected, { { "target", node }, { "reason", reason } });
         return;
     }
+    const auto* known = m_directory.find(node);
+    if (known && eraOf(row.version) > eraOf(known->rowVersion) && mayBeOlder(member.value(), known->member)) {
+        logOutdated(row);
+        return m_directory.setRowVersion(node, row.version);
+    }
     if (const auto* other = m_directory.findAddress(member.value().address);
         other && other->member.node != node && row.version > other->rowVersion)
         onNodeReplaced(instance_id(other->member.node));
@@ -58,6 +76,24 @@
     m_directory.setRowVersion(node, row.version);
 }
 
+/// A node whose row was lost continues to run and writes its row again. One that has ended stops answering and is
+/// removed then.
+void member_registry::onRowMissing(const row_change& row) { logOutdated(row); }
+
+void member_registry::logOutdated(const row_change& row) const
+{
+    logEvent(
+        log_event::member_row_outdated, { { "node", row.key.key }, { "row_version", std::to_string(row.version) } });
+}
+
+void member_registry::onTableReplaced(store_era era)
+{
+    m_era = era;
+    // The table does not contain the row, even if this node has not seen it there before.
+    if (eraOf(m_ownRowVersion) < era)
+        publishAgain();
+}
+
 /// Until the first heartbeat, the backend server is taken from the row that an earlier node process wrote. If another
 /// backend server runs there by now, it refuses the requests sent to it.
 void member_registry::adoptEarlierRow(const row_change& row)
@@ -82,16 +118,23 @@
     publish();
 }
 
-/// The row differs because another node removed it or an earlier process wrote it, so it is written again.
+/// The row differs because another node removed it, an earlier process wrote it or the store was restored, so it is
+/// written again.
 void member_registry::ownRowChanged(const row_change& row)
 {
-    if (!m_announcements.current())
+    if (!m_announcements.current() && !m_hasPublished)
         return adoptEarlierRow(row);
     if (row.value && *row.value == toJson(ownMember()))
         return;
     const auto member = row.value ? parseMember(*row.value) : notRun(error_code::not_found, "removed");
-    if (member.has_value() && startOf(member.value().life) < m_announcements.current()->startedAt)
+    if (m_announcements.current() && member.has_value()
+        && startOf(member.value().life) < m_announcements.current()->startedAt)
         m_ownership.onPredecessorEnded(member.value().life);
+    publishAgain();
+}
+
+void member_registry::publishAgain()
+{
     m_published.reset();
     publish();
 }
@@ -149,12 +192,14 @@
     if (!m_isRead || m_isPublishing || m_published == member)
         return;
     m_isPublishing = true;
+    m_hasPublished = true;
     conditional_write change;
     change.changes.push_back({ { table, m_settings.node }, 0, toJson(member) });
     m_store.write(
         std::move(change), boot_clock::now() + writeTimeout, [this, member](const result<write_outcome>& outcome) {
             m_isPublishing = false;
-            if (outcome.has_error()) {
+            // A write of an earlier era was undone by the restore.
+            if (outcome.has_error() || eraOf(outcome.value().version) < m_era) {
                 m_publishRetry.startOnce(writeBackoff);
                 return;
             }
--- a/src/mesh/internal/member_registry.h
+++ b/src/mesh/internal/member_registry.h
@@ -16,6 +16,10 @@
         announcement_service&);
 
     void onRowChanged(const row_change&);
+    /// The restored table does not contain the row any more.
+    void onRowMissing(const row_change&);
+    /// The rows of a later era of the store have replaced the known ones.
+    void onTableReplaced(store_era);
     /// The whole table was read.
     void onTableRead();
     bool isRead() const { return m_isRead; }
@@ -34,6 +38,8 @@
 private:
     void ownRowChanged(const row_change&);
     void adoptEarlierRow(const row_change&);
+    void publishAgain();
+    void logOutdated(const row_change&) const;
     mesh_member ownMember() const;
 
     const mesh_settings& m_settings;
@@ -42,8 +48,11 @@
     gate_service& m_gate;
     ownership& m_ownership;
     announcement_service& m_announcements;
+    store_era m_era = 0; ///< Latest era of the table; 0 unless the store was restored in this process's time.
+    row_version m_ownRowVersion = 0; ///< Last known version of this node's row.
     bool m_isRead = false;
     std::optional<mesh_member> m_published;
+    bool m_hasPublished = false; ///< The row of an earlier process has been replaced.
     bool m_isPublishing = false;
     time_point m_publishDueAt {}; ///< From this time on the row is written even without a heartbeat.
     timer m_publishRetry;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -122,7 +122,9 @@
                       [](bool isAvailable) {
                           logEvent(isAvailable ? log_event::store_available : log_event::store_unavailable);
                       },
-                      [this] { return m_tables.place(); }, m_random })
+                      [this] { return m_tables.place(); }, m_random,
+                      [this](const row_change& row) { m_registry.onRowMissing(row); },
+                      [this](store_era era) { m_registry.onTableReplaced(era); } })
             , m_rangeWatcher(base, *m_store, rangeTable, rangeTiming,
                   { [this](const row_change& row) { onRangesChanged(row); }, [this] { m_ownership.onTableRead(); },
                       nullptr, [] { return fleet_place(); }, m_random })
--- /dev/null
+++ b/src/mesh/tests/member_registry_test.cpp
@@ -0,0 +1,184 @@
+#include "http/tests/test_loop.h"
+#include "mesh/internal/member_registry.h"
+
+namespace heatherdrift {
+namespace {
+
+    /// Store that keeps the writes until the test answers them.
+    class writing_store : public watched_store {
+    public:
+        void read(std::string, time_point, std::function<void(result<row_snapshot>)>) override { }
+        void watch(std::string, row_version, duration, time_point, std::function<void(result<row_snapshot>)>) override
+        {
+        }
+        void write(conditional_write write, time_point, std::function<void(result<write_outcome>)> done) override
+        {
+            writes.push_back(std::move(write));
+            pending.push_back(std::move(done));
+        }
+        void answer(row_version version)
+        {
+            for (const auto& done : std::exchange(pending, {}))
+                done(write_outcome { true, version, {} });
+        }
+
+        std::vector<conditional_write> writes;
+        std::vector<std::function<void(result<write_outcome>)>> pending;
+    };
+
+    /// Node n1, whose backend server sends heartbeats when the test asks for it.
+    class MemberRegistryTest : public testing::Test {
+    protected:
+        MemberRegistryTest()
+        {
+            settings.node = "n1";
+            settings.zone = "z1";
+            settings.service = "s";
+            settings.forward = { "127.0.0.1", 1 };
+            port.decodeDeparture = [](const http_request&) { return std::optional<std::string>(); };
+            port.decodeAnnouncement = [this](const http_request&) -> result<backend_announcement> {
+                backend_announcement out;
+                out.id = "i1";
+                out.startedAt = 5;
+                out.sequence = ++heartbeats;
+                out.service = settings.service;
+                return out;
+            };
+            port.encodeGrant = [](const hold_grant&) { return http_response { { 200, {} }, "" }; };
+            server = loop.listen([this](http_exchange_ptr exchange) { announcements.handle(std::move(exchange)); });
+        }
+
+        void heartbeat() { EXPECT_EQ(loop.fetch(server->address(), { "PUT", "/", {}, "" }).value().head.status, 200); }
+
+        static mesh_member member(const instance_id& node, std::uint16_t addressPort, const life_name& life)
+        {
+            mesh_member out;
+            out.node = node;
+            out.zone = "z1";
+            out.address = { "127.0.0.1", addressPort };
+            out.service = "s";
+            out.life = life;
+            return out;
+        }
+
+        static row_change row(const mesh_member& value, row_version version)
+        {
+            return { { member_registry::table, value.node }, version, toJson(value) };
+        }
+        static row_change missing(const instance_id& node, row_version version)
+        {
+            return { { member_registry::table, node }, version, std::nullopt };
+        }
+
+        /// What the last write made of this node's own row.
+        row_change written(row_version version) const
+        {
+            auto out = store.writes.back().changes.at(0);
+            out.version = version;
+            return out;
+        }
+
+        test_loop loop;
+        mesh_settings settings;
+        platform_port port;
+        writing_store store;
+        std::int64_t heartbeats = 0;
+        mesh_directory directory { loop.base(), settings };
+        gate_service gate { loop.base(), settings, port,
+            { [](key_number) { return key_access::refuse; }, [] { return std::int64_t { 0 }; },
+                [] { return std::optional<table_statements>(); }, [] {} } };
+        ownership keys { loop.base(), settings, store, { "ranges", "s" },
+            { boot_clock::now, [] { return std::vector<owner_candidate>(); },
+                [](const range_map& map, fencing_token, time_point) { return map; }, [] {}, [] {}, [] { return true; },
+                [](const std::set<life_name>&) {}, [](const life_name&) { return true; } } };
+        announcement_service announcements { loop.base(), settings, port, gate, keys, [] { return false; },
+            [this] { registry.publish(); } };
+        member_registry registry { loop.base(), settings, store, directory, gate, keys, announcements };
+        std::unique_ptr<http_server> server;
+    };
+
+    // Guards against a node that gets no more requests because the restored store has lost its row.
+    TEST_F(MemberRegistryTest, NodeWhoseRowWasLostByARestoreStaysKnown)
+    {
+        registry.onRowChanged(row(member("n2", 2, "i2@7"), makeVersion(1, 50)));
+        registry.onRowMissing(missing("n2", makeVersion(2, 30)));
+        registry.onTableReplaced(2);
+        ASSERT_NE(directory.find("n2"), nullptr);
+        registry.onRowChanged(missing("n2", makeVersion(2, 60)));
+        EXPECT_EQ(directory.find("n2"), nullptr) << "a removal in the later era is one";
+    }
+
+    // Guards against requests to a backend server that is leaving or has been replaced, because the restored store has
+    // an older row of its node.
+    TEST_F(MemberRegistryTest, OlderRowOfARestoreDoesNotUndoWhatIsKnown)
+    {
+        auto draining = member("n2", 2, "i2@7");
+        draining.isDraining = true;
+        registry.onRowChanged(row(draining, makeVersion(1, 50)));
+        registry.onRowChanged(row(member("n2", 2, "i2@7"), makeVersion(2, 30)));
+        EXPECT_TRUE(directory.find("n2")->member.isDraining);
+        registry.onRowChanged(row(member("n3", 3, "i3@9"), makeVersion(1, 51)));
+        registry.onRowChanged(row(member("n3", 3, "i3@4"), makeVersion(2, 31)));
+        EXPECT_EQ(directory.find("n3")->member.life, "i3@9");
+        registry.onRowChanged(row(member("n3", 3, ""), makeVersion(2, 60)));
+        EXPECT_EQ(directory.find("n3")->member.life, "") << "later changes count";
+        registry.onRowChanged(row(member("n2", 2, "i2@8"), makeVersion(2, 61)));
+        EXPECT_FALSE(directory.find("n2")->member.isDraining);
+    }
+
+    // Guards against a node that stays unknown to others after its row was lost, also if it has never seen the row in
+    // its own copy of the table.
+    TEST_F(MemberRegistryTest, OwnRowLostByARestoreIsWrittenAgain)
+    {
+        registry.onTableRead();
+        heartbeat();
+        ASSERT_EQ(store.writes.size(), 1u);
+        store.answer(makeVersion(1, 50));
+        registry.onTableReplaced(2);
+        ASSERT_EQ(store.writes.size(), 2u);
+        EXPECT_EQ(store.writes[1], store.writes[0]);
+        store.answer(makeVersion(2, 31));
+        registry.onRowChanged(written(makeVersion(2, 31)));
+        registry.onTableReplaced(2);
+        EXPECT_EQ(store.writes.size(), 2u);
+    }
+
+    // Guards against a needless write of each node after a restore that has not changed its row.
+    TEST_F(MemberRegistryTest, OwnRowThatARestoreHasKeptIsNotWritten)
+    {
+        registry.onTableRead();
+        heartbeat();
+        store.answer(makeVersion(1, 50));
+        registry.onRowChanged(written(makeVersion(2, 50)));
+        registry.onTableReplaced(2);
+        EXPECT_EQ(store.writes.size(), 1u);
+    }
+
+    // Guards against a row that stays lost because its write was answered only after the node had got the restored
+    // table from another node.
+    TEST_F(MemberRegistryTest, WriteOfTheOwnRowInAnEarlierEraIsRepeated)
+    {
+        registry.onTableRead();
+        heartbeat();
+        registry.onTableReplaced(2);
+        store.answer(makeVersion(1, 50));
+        loop.runUntil([&] { return store.writes.size() == 2; });
+        store.answer(makeVersion(2, 40));
+        EXPECT_EQ(store.writes.size(), 2u);
+    }
+
+    // Guards against the life in a restored row being taken for the present one by a node that has written since that
+    // it has no backend server.
+    TEST_F(MemberRegistryTest, RestoredOwnRowIsNotAdoptedOnceReplaced)
+    {
+        registry.onTableRead();
+        loop.runUntil([&] { return !store.writes.empty(); });
+        store.answer(makeVersion(1, 50));
+        registry.onRowChanged(row(member("n1", 1, "i1@2"), makeVersion(2, 30)));
+        EXPECT_EQ(gate.backend().life, "");
+        ASSERT_EQ(store.writes.size(), 2u);
+        EXPECT_EQ(store.writes[1], store.writes[0]);
+    }
+
+} // namespace
+} // namespace heatherdrift
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -34,6 +34,8 @@
         { log_event::member_removed, "member_removed", log_level::info, "Another node's row was removed." },
         { log_event::member_not_removed, "member_not_removed", log_level::warning,
             "The store did not remove a lost node's row; the next read of the table brings it back." },
+        { log_event::member_row_outdated, "member_row_outdated", log_level::warning,
+            "A restored store lacks another node's row or has an older one; what is known is kept." },
         { log_event::lease_acquired, "lease_acquired", log_level::info, "A majority of witnesses granted the lease." },
         { log_event::lease_lost, "lease_lost", log_level::warning,
             "The lease ended; owned keys are refused until it is renewed." },
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -57,6 +57,7 @@
     member_changed = 1103,
     member_removed = 1104,
     member_not_removed = 1105,
+    member_row_outdated = 1106,
     announcement_rejected = 1804,
     announcement_outdated = 1805,
     settings_reloaded = 1005,
