Compare the rows of two nodes at one address only within an era

Two backend servers could be given the same keys after a restore of the store.

Cause: of two nodes at one address, the one with the lower row version counts as gone, which proves to the ownership that its backend server has ended, so that its keys are given to others without waiting. After a restore the row of an earlier node at the address is back, and its version is of the later era, so above the one that is known of the present node, whose own row may be lost. The proof is then wrong: the present backend server still holds its keys.

Versions of two eras now prove nothing. Both nodes are probed instead; whichever listens at the address answers 421 to the request for the other one, which proves the end of that one by direct contact. The same holds for a node that has the address of this one, and for an older row that is read after the newer one; neither was noticed before. A restored row that is not applied, since it may be older than what is known, does not change the version of the known state either. Within an era the order of rows is that of their writes, so the proof by versions stays.

Evidence, with the comparison of before: RestoredRowDoesNotReplaceTheNodeAtItsAddress fails, as the row of the present node is removed from the store and the directory; NodeAtTheOwnAddressIsProbed fails, as nothing is probed. With the version of a row that was not applied taken over, VersionOfAnOlderRowIsNoProofAgainstTheKnownState fails in the same way. NewerRowOfTheSameEraReplacesTheNodeAtItsAddress passes before and after.

--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -2,6 +2,8 @@
 
 #include "telemetry/log_event.h"
 
+#include <algorithm>
+
 namespace heatherdrift {
 
 namespace {
@@ -26,13 +28,15 @@
 } // namespace
 
 member_registry::member_registry(event_base* base, const mesh_settings& settings, watched_store& store,
-    mesh_directory& directory, gate_service& gate, ownership& ownership, announcement_service& announcements)
+    mesh_directory& directory, gate_service& gate, ownership& ownership, announcement_service& announcements,
+    std::function<void(const instance_id&)> probe)
     : m_settings(settings)
     , m_store(store)
     , m_directory(directory)
     , m_gate(gate)
     , m_ownership(ownership)
     , m_announcements(announcements)
+    , m_probe(std::move(probe))
     , m_publishDueAt(boot_clock::now() + firstHeartbeatTimeout)
     , m_publishRetry(base, [this] { publish(); })
 {
@@ -53,8 +57,10 @@
         m_ownRowVersion = row.version;
         return ownRowChanged(row);
     }
-    if (!row.value)
+    if (!row.value) {
+        m_outdatedRows.erase(node);
         return m_directory.remove(node);
+    }
     const auto member = parseMember(*row.value);
     if (member.has_error() || member.value().node != node) {
         const auto reason = member.has_error() ? member.error().message : "row key and instance name differ";
@@ -62,18 +68,38 @@
         return;
     }
     const auto* known = m_directory.find(node);
-    if (known && eraOf(row.version) > eraOf(known->rowVersion) && mayBeOlder(member.value(), known->member)) {
-        logOutdated(row);
-        return m_directory.setRowVersion(node, row.version);
+    auto& outdated = m_outdatedRows[node];
+    const auto lastVersion = known ? std::max(known->rowVersion, outdated) : row.version;
+    if (eraOf(row.version) > eraOf(lastVersion) && mayBeOlder(member.value(), known->member)) {
+        // The known state keeps its version, since the version of this row says nothing about it.
+        outdated = row.version;
+        return logOutdated(row);
     }
-    if (const auto* other = m_directory.findAddress(member.value().address);
-        other && other->member.node != node && row.version > other->rowVersion)
-        onNodeReplaced(instance_id(other->member.node));
     logEvent(log_event::member_changed,
         { { "node", node }, { "life", member.value().life }, { "draining", member.value().isDraining ? "yes" : "no" },
             { "row_version", std::to_string(row.version) } });
     m_directory.update(member.value(), boot_clock::now());
     m_directory.setRowVersion(node, row.version);
+    checkAddress(member.value(), row.version);
+}
+
+/// Of two nodes at one address, the one with the older row is gone. Versions of different eras do not show which one it
+/// is: the row of the present node may have been lost, and that of the earlier one may be back.
+void member_registry::checkAddress(const mesh_member& member, row_version version)
+{
+    for (const auto& [node, otherVersion] : m_directory.nodesAt(member.address)) {
+        if (node == member.node)
+            continue;
+        const bool isSelf = node == m_settings.node;
+        const bool isSameEra = eraOf(otherVersion) == eraOf(version);
+        if (!isSelf && isSameEra && otherVersion < version) {
+            onNodeReplaced(node);
+            continue;
+        }
+        m_probe(member.node);
+        if (!isSelf && !isSameEra)
+            m_probe(node);
+    }
 }
 
 /// A node whose row was lost continues to run and writes its row again. One that has ended stops answering and is
--- a/src/mesh/internal/member_registry.h
+++ b/src/mesh/internal/member_registry.h
@@ -12,8 +12,9 @@
 /// directory, and removes the rows of lost nodes.
 class member_registry {
 public:
+    /// The function asks a node for an answer of its own, which proves whether it is still at its address.
     member_registry(event_base*, const mesh_settings&, watched_store&, mesh_directory&, gate_service&, ownership&,
-        announcement_service&);
+        announcement_service&, std::function<void(const instance_id&)> probe);
 
     void onRowChanged(const row_change&);
     /// The restored table does not contain the row any more.
@@ -39,6 +40,7 @@
     void ownRowChanged(const row_change&);
     void adoptEarlierRow(const row_change&);
     void publishAgain();
+    void checkAddress(const mesh_member&, row_version);
     void logOutdated(const row_change&) const;
     mesh_member ownMember() const;
 
@@ -48,8 +50,11 @@
     gate_service& m_gate;
     ownership& m_ownership;
     announcement_service& m_announcements;
+    std::function<void(const instance_id&)> m_probe;
     store_era m_era = 0; ///< Latest era of the table; 0 unless the store was restored in this process's time.
     row_version m_ownRowVersion = 0; ///< Last known version of this node's row.
+    /// Versions of the rows of a restored table that were not applied because they may be older than what is known.
+    std::map<instance_id, row_version> m_outdatedRows;
     bool m_isRead = false;
     std::optional<mesh_member> m_published;
     bool m_hasPublished = false; ///< The row of an earlier process has been replaced.
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -104,11 +104,14 @@
     return found == m_peers.end() ? nullptr : &found->second;
 }
 
-const mesh_peer* mesh_directory::findAddress(const endpoint& address) const
+std::map<instance_id, row_version> mesh_directory::nodesAt(const endpoint& address) const
 {
-    const auto found
-        = std::ranges::find_if(m_peers, [&](const auto& entry) { return entry.second.member.address == address; });
-    return found == m_peers.end() ? nullptr : &found->second;
+    std::map<instance_id, row_version> out;
+    for (const auto& [node, peer] : m_peers) {
+        if (peer.member.address == address)
+            out[node] = peer.rowVersion;
+    }
+    return out;
 }
 
 void mesh_directory::setRowVersion(const instance_id& node, row_version version)
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -36,7 +36,8 @@
 
     const std::map<instance_id, mesh_peer>& peers() const { return m_peers; }
     const mesh_peer* find(const instance_id&) const;
-    const mesh_peer* findAddress(const endpoint&) const;
+    /// Nodes with this address and the versions of their rows.
+    std::map<instance_id, row_version> nodesAt(const endpoint&) const;
     void setRowVersion(const instance_id&, row_version);
     const mesh_peer* findLife(const life_name&) const;
     /// Reachable nodes whose backend servers of this service accept requests, in the order of their names.
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -87,7 +87,8 @@
             , m_announcements(
                   base, m_settings, m_port, m_gate, m_ownership, [this] { return isPartitioned(); },
                   [this] { m_registry.publish(); })
-            , m_registry(base, m_settings, *m_store, m_directory, m_gate, m_ownership, m_announcements)
+            , m_registry(base, m_settings, *m_store, m_directory, m_gate, m_ownership, m_announcements,
+                  [this](const instance_id& node) { m_watch.probe(node); })
             , m_entry({ base, m_settings, m_port, m_routes, m_directory, m_gate, &m_metrics,
                   [this](const std::string& service) { return findMap(service); },
                   [this](const std::string& service) {
--- a/src/mesh/tests/member_registry_test.cpp
+++ b/src/mesh/tests/member_registry_test.cpp
@@ -82,6 +82,7 @@
         mesh_settings settings;
         platform_port port;
         writing_store store;
+        std::vector<instance_id> probed;
         std::int64_t heartbeats = 0;
         mesh_directory directory { loop.base(), settings };
         gate_service gate { loop.base(), settings, port,
@@ -93,7 +94,8 @@
                 [](const std::set<life_name>&) {}, [](const life_name&) { return true; } } };
         announcement_service announcements { loop.base(), settings, port, gate, keys, [] { return false; },
             [this] { registry.publish(); } };
-        member_registry registry { loop.base(), settings, store, directory, gate, keys, announcements };
+        member_registry registry { loop.base(), settings, store, directory, gate, keys, announcements,
+            [this](const instance_id& node) { probed.push_back(node); } };
         std::unique_ptr<http_server> server;
     };
 
@@ -180,5 +182,63 @@
         EXPECT_EQ(store.writes[1], store.writes[0]);
     }
 
+    bool removes(const conditional_write& write, const instance_id& node)
+    {
+        return write.changes.at(0).key.key == node && !write.changes.at(0).value;
+    }
+
+    // Guards against a wrong proof that a backend server has ended, so that its keys get a second owner: after a
+    // restore the row of an earlier node at the address is back, with a version above the one known of the present
+    // node.
+    TEST_F(MemberRegistryTest, RestoredRowDoesNotReplaceTheNodeAtItsAddress)
+    {
+        registry.onRowChanged(row(member("n2", 2, "i2@7"), makeVersion(1, 50)));
+        registry.onRowChanged(row(member("n3", 2, "i3@4"), makeVersion(2, 30)));
+        EXPECT_TRUE(store.writes.empty());
+        ASSERT_NE(directory.find("n2"), nullptr);
+        EXPECT_EQ(probed, (std::vector<instance_id> { "n3", "n2" }));
+    }
+
+    // Guards against the same wrong proof when the restored table also has an older row of the present node, whose
+    // version does not belong to what is known of it.
+    TEST_F(MemberRegistryTest, VersionOfAnOlderRowIsNoProofAgainstTheKnownState)
+    {
+        registry.onRowChanged(row(member("n2", 2, "i2@7"), makeVersion(1, 50)));
+        registry.onRowChanged(row(member("n2", 4, "i2@3"), makeVersion(2, 20)));
+        registry.onRowChanged(row(member("n3", 2, "i3@4"), makeVersion(2, 30)));
+        EXPECT_TRUE(store.writes.empty());
+        ASSERT_NE(directory.find("n2"), nullptr);
+        EXPECT_EQ(probed, (std::vector<instance_id> { "n3", "n2" }));
+    }
+
+    // Guards against a node that stays known although another one has its address.
+    TEST_F(MemberRegistryTest, NewerRowOfTheSameEraReplacesTheNodeAtItsAddress)
+    {
+        registry.onRowChanged(row(member("n3", 2, "i3@4"), makeVersion(2, 30)));
+        registry.onRowChanged(row(member("n2", 2, "i2@7"), makeVersion(2, 31)));
+        ASSERT_EQ(store.writes.size(), 1u);
+        EXPECT_TRUE(removes(store.writes[0], "n3"));
+        EXPECT_EQ(directory.find("n3"), nullptr);
+        EXPECT_TRUE(probed.empty());
+    }
+
+    // Guards against an earlier node at the address of a later one that stays known because its row is read second.
+    TEST_F(MemberRegistryTest, OlderRowOfTheSameEraIsProbed)
+    {
+        registry.onRowChanged(row(member("n2", 2, "i2@7"), makeVersion(2, 31)));
+        registry.onRowChanged(row(member("n3", 2, "i3@4"), makeVersion(2, 30)));
+        EXPECT_TRUE(store.writes.empty());
+        EXPECT_EQ(probed, (std::vector<instance_id> { "n3" }));
+    }
+
+    // Guards against the row of an earlier node at this node's own address that is never noticed.
+    TEST_F(MemberRegistryTest, NodeAtTheOwnAddressIsProbed)
+    {
+        registry.onTableRead();
+        heartbeat();
+        registry.onRowChanged(row(member("n3", 1, "i3@4"), makeVersion(2, 30)));
+        EXPECT_EQ(probed, (std::vector<instance_id> { "n3" }));
+    }
+
 } // namespace
 } // namespace heatherdrift
