Ask nodes that a restore brings back for an answer first

Requests and keys could go to backend servers that had ended before a restore of the store.

Cause: the restored table again contains the rows of nodes that were removed in the lost time. They counted as available like any new node, until the first requests to them had failed; an owner that distributes keys took their backend servers for candidates.

A node that this one did not know when the first copy of a later era arrives now counts as unreachable until it responds. Rows of the same era count at once, as before.

Evidence: without the call of requireAnswer(), MemberRegistryTest.NodeThatARestoreBringsBackHasToAnswerFirst finds n3, whose row had been removed, among the available nodes.

--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -42,8 +42,9 @@
 {
 }
 
-void member_registry::onTableRead()
+void member_registry::onTableRead(store_era era)
 {
+    m_era = era;
     m_isRead = true;
     publish();
 }
@@ -75,11 +76,15 @@
         outdated = row.version;
         return logOutdated(row);
     }
+    // The row may be one that was removed in the lost time, so its node must not be given requests or keys yet.
+    const bool isRemovalUndone = !known && m_isRead && eraOf(row.version) > m_era;
     logEvent(log_event::member_changed,
         { { "node", node }, { "life", member.value().life }, { "draining", member.value().isDraining ? "yes" : "no" },
             { "row_version", std::to_string(row.version) } });
     m_directory.update(member.value(), boot_clock::now());
     m_directory.setRowVersion(node, row.version);
+    if (isRemovalUndone)
+        m_directory.requireAnswer(node, boot_clock::now());
     checkAddress(member.value(), row.version);
 }
 
--- a/src/mesh/internal/member_registry.h
+++ b/src/mesh/internal/member_registry.h
@@ -22,7 +22,7 @@
     /// The rows of a later era of the store have replaced the known ones.
     void onTableReplaced(store_era);
     /// The whole table was read.
-    void onTableRead();
+    void onTableRead(store_era);
     bool isRead() const { return m_isRead; }
 
     /// Writes this node's row if it differs from the one that was written last.
@@ -51,7 +51,7 @@
     ownership& m_ownership;
     announcement_service& m_announcements;
     std::function<void(const instance_id&)> m_probe;
-    store_era m_era = 0; ///< Latest era of the table; 0 unless the store was restored in this process's time.
+    store_era m_era = 0; ///< Era of the table, as of the last replacement of all rows.
     row_version m_ownRowVersion = 0; ///< Last known version of this node's row.
     /// Versions of the rows of a restored table that were not applied because they may be older than what is known.
     std::map<instance_id, row_version> m_outdatedRows;
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -120,6 +120,16 @@
         found->second.rowVersion = version;
 }
 
+void mesh_directory::requireAnswer(const instance_id& node, time_point now)
+{
+    const auto found = m_peers.find(node);
+    if (found == m_peers.end())
+        return;
+    found->second.failingSince = now;
+    found->second.failures = 1;
+    found->second.silences = silencesUntilUnreachable;
+}
+
 const mesh_peer* mesh_directory::findLife(const life_name& life) const
 {
     if (life.empty())
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -39,6 +39,8 @@
     /// Nodes with this address and the versions of their rows.
     std::map<instance_id, row_version> nodesAt(const endpoint&) const;
     void setRowVersion(const instance_id&, row_version);
+    /// Counts the node as unreachable until it responds.
+    void requireAnswer(const instance_id&, time_point now);
     const mesh_peer* findLife(const life_name&) const;
     /// Reachable nodes whose backend servers of this service accept requests, in the order of their names.
     std::vector<const mesh_peer*> available(const std::string& service, time_point now) const;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -119,7 +119,7 @@
                       [this] { return m_tables.place(); }, m_random })
             , m_memberWatcher(base, *m_store, member_registry::table, memberTiming,
                   { [this](const row_change& row) { m_registry.onRowChanged(row); },
-                      [this] { m_registry.onTableRead(); },
+                      [this] { m_registry.onTableRead(m_memberWatcher.copy().era()); },
                       [](bool isAvailable) {
                           logEvent(isAvailable ? log_event::store_available : log_event::store_unavailable);
                       },
--- a/src/mesh/tests/member_registry_test.cpp
+++ b/src/mesh/tests/member_registry_test.cpp
@@ -128,11 +128,39 @@
         EXPECT_FALSE(directory.find("n2")->member.isDraining);
     }
 
+    // Guards against requests and keys for a node that had ended before a restore brought its row back, and against a
+    // node that stays without them although it answers.
+    TEST_F(MemberRegistryTest, NodeThatARestoreBringsBackHasToAnswerFirst)
+    {
+        const auto available = [this] {
+            std::vector<instance_id> out;
+            for (const auto* peer : directory.available("s", boot_clock::now()))
+                out.push_back(peer->member.node);
+            return out;
+        };
+        registry.onRowChanged(row(member("n2", 2, "i2@7"), makeVersion(1, 50)));
+        registry.onTableRead(1);
+        registry.onRowChanged(row(member("n3", 3, "i3@4"), makeVersion(1, 51)));
+        EXPECT_EQ(available(), (std::vector<instance_id> { "n2", "n3" })) << "rows of the same era count at once";
+        registry.onRowChanged(missing("n3", makeVersion(1, 52)));
+        registry.onRowChanged(row(member("n2", 2, "i2@7"), makeVersion(2, 50)));
+        registry.onRowChanged(row(member("n3", 3, "i3@4"), makeVersion(2, 51)));
+        registry.onTableReplaced(2);
+        EXPECT_EQ(available(), (std::vector<instance_id> { "n2" }));
+        EXPECT_EQ(
+            directory.silentSince(boot_clock::now() + std::chrono::seconds(1), 1), (std::vector<instance_id> { "n3" }))
+            << "it is probed like other silent nodes";
+        directory.recordAnswer("n3", std::nullopt, boot_clock::now());
+        EXPECT_EQ(available(), (std::vector<instance_id> { "n2", "n3" }));
+        registry.onRowChanged(row(member("n4", 4, "i4@4"), makeVersion(2, 60)));
+        EXPECT_EQ(available(), (std::vector<instance_id> { "n2", "n3", "n4" }));
+    }
+
     // Guards against a node that stays unknown to others after its row was lost, also if it has never seen the row in
     // its own copy of the table.
     TEST_F(MemberRegistryTest, OwnRowLostByARestoreIsWrittenAgain)
     {
-        registry.onTableRead();
+        registry.onTableRead(1);
         heartbeat();
         ASSERT_EQ(store.writes.size(), 1u);
         store.answer(makeVersion(1, 50));
@@ -148,7 +176,7 @@
     // Guards against a needless write of each node after a restore that has not changed its row.
     TEST_F(MemberRegistryTest, OwnRowThatARestoreHasKeptIsNotWritten)
     {
-        registry.onTableRead();
+        registry.onTableRead(1);
         heartbeat();
         store.answer(makeVersion(1, 50));
         registry.onRowChanged(written(makeVersion(2, 50)));
@@ -160,7 +188,7 @@
     // table from another node.
     TEST_F(MemberRegistryTest, WriteOfTheOwnRowInAnEarlierEraIsRepeated)
     {
-        registry.onTableRead();
+        registry.onTableRead(1);
         heartbeat();
         registry.onTableReplaced(2);
         store.answer(makeVersion(1, 50));
@@ -173,7 +201,7 @@
     // it has no backend server.
     TEST_F(MemberRegistryTest, RestoredOwnRowIsNotAdoptedOnceReplaced)
     {
-        registry.onTableRead();
+        registry.onTableRead(1);
         loop.runUntil([&] { return !store.writes.empty(); });
         store.answer(makeVersion(1, 50));
         registry.onRowChanged(row(member("n1", 1, "i1@2"), makeVersion(2, 30)));
@@ -234,7 +262,7 @@
     // Guards against the row of an earlier node at this node's own address that is never noticed.
     TEST_F(MemberRegistryTest, NodeAtTheOwnAddressIsProbed)
     {
-        registry.onTableRead();
+        registry.onTableRead(1);
         heartbeat();
         registry.onRowChanged(row(member("n3", 1, "i3@4"), makeVersion(2, 30)));
         EXPECT_EQ(probed, (std::vector<instance_id> { "n3" }));
