--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -2,6 +2,8 @@
 
 #include "telemetry/log_event.h"
 
+#include <algorithm>
+
 namespace heatherdrift {
 
 namespace {
@@ -12,23 +14,37 @@
     constexpr auto writeBackoff = std::chrono::milliseconds(300);
     constexpr auto firstHeartbeatTimeout = std::chrono::seconds(3); ///< Three usual heartbeat intervals.
 
+    /// Whether a restored row may be older than what is known of the same node. A life never ends its drain, and lives
+    /// of one node follow each other.
+    bool mayBeOlder(const mesh_member& row, const mesh_member& known)
+    {
+        if (known.life.empty())
+            return false;
+        if (row.life == known.life)
+            return (known.isDraining && !row.isDraining) || row.address != known.address;
+        return row.life.empty() || startOf(row.life) < startOf(known.life);
+    }
+
 } // namespace
 
 member_registry::member_registry(event_base* base, const mesh_settings& settings, watched_store& store,
-    mesh_directory& directory, gate_service& gate, ownership& ownership, announcement_service& announcements)
+    mesh_directory& directory, gate_service& gate, ownership& ownership, announcement_service& announcements,
+    std::function<void(const instance_id&)> probe)
     : m_settings(settings)
     , m_store(store)
     , m_directory(directory)
     , m_gate(gate)
     , m_ownership(ownership)
     , m_announcements(announcements)
+    , m_probe(std::move(probe))
     , m_publishDueAt(boot_clock::now() + firstHeartbeatTimeout)
     , m_publishRetry(base, [this] { publish(); })
 {
 }
 
-void member_registry::onTableRead()
+void member_registry::onTableRead(store_era era)
 {
+    m_era = era;
     m_isRead = true;
     publish();
 }
@@ -38,24 +54,75 @@
     const instance_id& node = row.key.key;
     if (node == lastRemovalKey)
         return;
-    if (node == m_settings.node)
+    if (node == m_settings.node) {
+        m_ownRowVersion = row.version;
         return ownRowChanged(row);
-    if (!row.value)
+    }
+    if (!row.value) {
+        m_outdatedRows.erase(node);
         return m_directory.remove(node);
+    }
     const auto member = parseMember(*row.value);
     if (member.has_error() || member.value().node != node) {
         const auto reason = member.has_error() ? member.error().message : "row key and instance name differ";
         logEvent(log_event::peer_message_rejected, { { "target", node }, { "reason", reason } });
         return;
     }
-    if (const auto* other = m_directory.findAddress(member.value().address);
-        other && other->member.node != node && row.version > other->rowVersion)
-        onNodeReplaced(instance_id(other->member.node));
+    const auto* known = m_directory.find(node);
+    auto& outdated = m_outdatedRows[node];
+    const auto lastVersion = known ? std::max(known->rowVersion, outdated) : row.version;
+    if (eraOf(row.version) > eraOf(lastVersion) && mayBeOlder(member.value(), known->member)) {
+        // The known state keeps its version, since the version of this row says nothing about it.
+        outdated = row.version;
+        return logOutdated(row);
+    }
+    // The row may be one that was removed in the lost time, so its node must not be given requests or keys yet.
+    const bool isRemovalUndone = !known && m_isRead && eraOf(row.version) > m_era;
     logEvent(log_event::member_changed,
         { { "node", node }, { "life", member.value().life }, { "draining", member.value().isDraining ? "yes" : "no" },
             { "row_version", std::to_string(row.version) } });
     m_directory.update(member.value(), boot_clock::now());
     m_directory.setRowVersion(node, row.version);
+    if (isRemovalUndone)
+        m_directory.requireAnswer(node, boot_clock::now());
+    checkAddress(member.value(), row.version);
+}
+
+/// Of two nodes at one address, the one with the older row is gone. Versions of different eras do not show which one it
+/// is: the row of the present node may have been lost, and that of the earlier one may be back.
+void member_registry::checkAddress(const mesh_member& member, row_version version)
+{
+    for (const auto& [node, otherVersion] : m_directory.nodesAt(member.address)) {
+        if (node == member.node)
+            continue;
+        const bool isSelf = node == m_settings.node;
+        const bool isSameEra = eraOf(otherVersion) == eraOf(version);
+        if (!isSelf && isSameEra && otherVersion < version) {
+            onNodeReplaced(node);
+            continue;
+        }
+        m_probe(member.node);
+        if (!isSelf && !isSameEra)
+            m_probe(node);
+    }
+}
+
+/// A node whose row was lost continues to run and writes its row again. One that has ended stops answering and is
+/// removed then.
+void member_registry::onRowMissing(const row_change& row) { logOutdated(row); }
+
+void member_registry::logOutdated(const row_change& row) const
+{
+    logEvent(
+        log_event::member_row_outdated, { { "node", row.key.key }, { "row_version", std::to_string(row.version) } });
+}
+
+void member_registry::onTableReplaced(store_era era)
+{
+    m_era = era;
+    // The table does not contain the row, even if this node has not seen it there before.
+    if (eraOf(m_ownRowVersion) < era)
+        publishAgain();
 }
 
 /// Until the first heartbeat, the backend server is taken from the row that an earlier node process wrote. If another
@@ -82,16 +149,23 @@
     publish();
 }
 
-/// The row differs because another node removed it or an earlier process wrote it, so it is written again.
+/// The row differs because another node removed it, an earlier process wrote it or the store was restored, so it is
+/// written again.
 void member_registry::ownRowChanged(const row_change& row)
 {
-    if (!m_announcements.current())
+    if (!m_announcements.current() && !m_hasPublished)
         return adoptEarlierRow(row);
     if (row.value && *row.value == toJson(ownMember()))
         return;
     const auto member = row.value ? parseMember(*row.value) : notRun(error_code::not_found, "removed");
-    if (member.has_value() && startOf(member.value().life) < m_announcements.current()->startedAt)
+    if (m_announcements.current() && member.has_value()
+        && startOf(member.value().life) < m_announcements.current()->startedAt)
         m_ownership.onPredecessorEnded(member.value().life);
+    publishAgain();
+}
+
+void member_registry::publishAgain()
+{
     m_published.reset();
     publish();
 }
@@ -149,12 +223,14 @@
     if (!m_isRead || m_isPublishing || m_published == member)
         return;
     m_isPublishing = true;
+    m_hasPublished = true;
     conditional_write change;
     change.changes.push_back({ { table, m_settings.node }, 0, toJson(member) });
     m_store.write(
         std::move(change), boot_clock::now() + writeTimeout, [this, member](const result<write_outcome>& outcome) {
             m_isPublishing = false;
-            if (outcome.has_error()) {
+            // A write of an earlier era was undone by the restore.
+            if (outcome.has_error() || eraOf(outcome.value().version) < m_era) {
                 m_publishRetry.startOnce(writeBackoff);
                 return;
             }
--- a/src/mesh/internal/member_registry.h
+++ b/src/mesh/internal/member_registry.h
@@ -12,12 +12,17 @@
 /// directory, and removes the rows of lost nodes.
 class member_registry {
 public:
+    /// The function asks a node for an answer of its own, which proves whether it is still at its address.
     member_registry(event_base*, const mesh_settings&, watched_store&, mesh_directory&, gate_service&, ownership&,
-        announcement_service&);
+        announcement_service&, std::function<void(const instance_id&)> probe);
 
     void onRowChanged(const row_change&);
+    /// The restored table does not contain the row any more.
+    void onRowMissing(const row_change&);
+    /// The rows of a later era of the store have replaced the known ones.
+    void onTableReplaced(store_era);
     /// The whole table was read.
-    void onTableRead();
+    void onTableRead(store_era);
     bool isRead() const { return m_isRead; }
 
     /// Writes this node's row if it differs from the one that was written last.
@@ -34,6 +39,9 @@
 private:
     void ownRowChanged(const row_change&);
     void adoptEarlierRow(const row_change&);
+    void publishAgain();
+    void checkAddress(const mesh_member&, row_version);
+    void logOutdated(const row_change&) const;
     mesh_member ownMember() const;
 
     const mesh_settings& m_settings;
@@ -42,8 +50,14 @@
     gate_service& m_gate;
     ownership& m_ownership;
     announcement_service& m_announcements;
+    std::function<void(const instance_id&)> m_probe;
+    store_era m_era = 0; ///< Era of the table, as of the last replacement of all rows.
+    row_version m_ownRowVersion = 0; ///< Last known version of this node's row.
+    /// Versions of the rows of a restored table that were not applied because they may be older than what is known.
+    std::map<instance_id, row_version> m_outdatedRows;
     bool m_isRead = false;
     std::optional<mesh_member> m_published;
+    bool m_hasPublished = false; ///< The row of an earlier process has been replaced.
     bool m_isPublishing = false;
     time_point m_publishDueAt {}; ///< From this time on the row is written even without a heartbeat.
     timer m_publishRetry;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -87,7 +87,8 @@
             , m_announcements(
                   base, m_settings, m_port, m_gate, m_ownership, [this] { return isPartitioned(); },
                   [this] { m_registry.publish(); })
-            , m_registry(base, m_settings, *m_store, m_directory, m_gate, m_ownership, m_announcements)
+            , m_registry(base, m_settings, *m_store, m_directory, m_gate, m_ownership, m_announcements,
+                  [this](const instance_id& node) { m_watch.probe(node); })
             , m_entry({ base, m_settings, m_port, m_routes, m_directory, m_gate, &m_metrics,
                   [this](const std::string& service) { return findMap(service); },
                   [this](const std::string& service) {
@@ -119,11 +120,13 @@
                       [this] { return m_tables.place(); }, m_random })
             , m_memberWatcher(base, *m_store, member_registry::table, memberTiming,
                   { [this](const row_change& row) { m_registry.onRowChanged(row); },
-                      [this] { m_registry.onTableRead(); },
+                      [this] { m_registry.onTableRead(m_memberWatcher.copy().era()); },
                       [](bool isAvailable) {
                           logEvent(isAvailable ? log_event::store_available : log_event::store_unavailable);
                       },
-                      [this] { return m_tables.place(); }, m_random })
+                      [this] { return m_tables.place(); }, m_random,
+                      [this](const row_change& row) { m_registry.onRowMissing(row); },
+                      [this](store_era era) { m_registry.onTableReplaced(era); } })
             , m_rangeWatcher(base, *m_store, rangeTable, rangeTiming,
                   { [this](const row_change& row) { onRangesChanged(row); }, [this] { m_ownership.onTableRead(); },
                       nullptr, [] { return fleet_place(); }, m_random })
@@ -131,6 +134,7 @@
                   { [this](const instance_id& node) { m_watch.probe(node); } })
             , m_stopPoll(base, [this] { stopIfDone(); })
         {
+            m_store->onRestored([this](store_era era) { handleRestore(era); });
         }
 
         result<void> listen()
@@ -265,6 +269,13 @@
             m_balancer.start();
         }
 
+        void handleRestore(store_era era)
+        {
+            logEvent(log_event::store_restored, { { "era", std::to_string(era) } });
+            for (auto* watcher : { &m_configurationWatcher, &m_memberWatcher, &m_rangeWatcher })
+                watcher->onStoreRestored(era);
+        }
+
         void handleReadiness(const http_exchange_ptr& exchange)
         {
             if (exchange->request().target != m_port.readinessPath)
