Reject an encoded text that ends after its head

RapidCheck with 3,000 cases instead of 100 (sanitizer build, RC_PARAMS="max_success=3000 seed=") found that the data of an empty text, truncated after the head, was accepted: table_codec_test.cpp:68: RC_ASSERT(decodeDelta(data.substr(0, position), base, limitBytes).has_error()) Expands to: false Falsifiable after 492 tests: ("", ""), 24 zstd decodes zero bytes to zero bytes, which has the expected length and hash. The restored text was the right one, and no update is empty, so that no caller saw it; but the data is damaged, and encodeDelta() relies on the rejection where it leaves the frame out. An empty frame is now an error.

--- a/src/mesh/internal/text_delta.cpp
+++ b/src/mesh/internal/text_delta.cpp
@@ -70,8 +70,9 @@
 
 result<std::string> decodeDelta(std::string_view data, std::string_view base, std::size_t limitBytes)
 {
-    if (data.size() < headBytes)
-        return damaged("no head");
+    // Without this check, zstd would decode an empty frame to an empty text.
+    if (data.size() <= headBytes)
+        return damaged("no frame");
     const auto length = readWord(data, 0);
     if (length > limitBytes)
         return notRun(error_code::too_large, "update of " + std::to_string(length) + " bytes");
--- a/src/mesh/tests/table_codec_test.cpp
+++ b/src/mesh/tests/table_codec_test.cpp
@@ -68,6 +68,15 @@
         RC_ASSERT(decodeDelta(data.substr(0, position), base, limitBytes).has_error());
     }
 
+    // Guards against data that ends after its head and is taken for an empty text.
+    TEST(TextDelta, TruncatedEmptyTextIsRejected)
+    {
+        const auto data = encodeDelta("", "");
+        for (std::size_t size = 0; size < data.size(); ++size)
+            EXPECT_TRUE(decodeDelta(data.substr(0, size), "", limitBytes).has_error()) << size;
+        EXPECT_EQ(decodeDelta(data, "", limitBytes).value(), "");
+    }
+
     // Guards against a difference that is applied to another text than the one it was made from.
     TEST(TextDelta, OtherBaseIsReported)
     {
