Move the confirmations of ownership into a file of their own

The functions that confirm the range map and promise to other owners move to ownership_confirmation.cpp, the times that both files use to ownership_timing.h. No behaviour changes.

--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -1,63 +1,16 @@
 #include "mesh/internal/ownership.h"
 
 #include "base/hash.h"
+#include "mesh/internal/ownership_timing.h"
 #include "telemetry/log_event.h"
 
 #include <algorithm>
 
 namespace heatherdrift {
 
-namespace {
+using namespace ownership_timing;
 
-    /// Outlasts a restart of the node or two lost heartbeats. Keys of a lost owner are unavailable for this long.
-    constexpr auto leaseTime = std::chrono::milliseconds(3500);
-    constexpr auto confirmInterval = std::chrono::milliseconds(700);
-    /// Maximum age of a check whose result is passed on to other owners, which saves them a more expensive call to the
-    /// store.
-    constexpr auto maxSharedCheckAge = std::chrono::milliseconds(300);
-    /// Age of the last confirmation at which an owner checks the map itself: the owner that checks for all has missed
-    /// one response.
-    constexpr auto ownCheckAge = confirmInterval + maxSharedCheckAge + std::chrono::milliseconds(200);
-    /// Age at which an owner asks the others for promises, because the store has not responded either. The other owners
-    /// may need a second to detect the outage, and the next heartbeat has to arrive before the lease ends.
-    constexpr auto extensionAge = ownCheckAge + std::chrono::milliseconds(100);
-    constexpr auto extensionInterval = std::chrono::milliseconds(300);
-    /// Longer than the heartbeat interval and the interval between requests for promises.
-    constexpr auto promiseTime = std::chrono::milliseconds(1600);
-    constexpr auto maxExtension = std::chrono::milliseconds(8000); ///< Longer than most outages of the store.
-    /// A write of an earlier process may still take effect for this long; until then this process makes no promises.
-    constexpr auto lateWriteTime = std::chrono::milliseconds(8000);
-    /// A node that owns no keys reassigns keys without a live owner only if no owner has done so for this long.
-    constexpr auto nonOwnerTakeoverDelay = std::chrono::milliseconds(3000);
-    constexpr auto tickInterval = std::chrono::milliseconds(100);
-    constexpr auto writeTimeout = std::chrono::milliseconds(1500);
-    constexpr auto confirmTimeout = std::chrono::milliseconds(1000);
-    constexpr auto conflictBackoffStep = std::chrono::milliseconds(6); ///< About the round trip of a call to the store.
-    constexpr auto writeBackoff = std::chrono::milliseconds(200);
-    /// Margin for the clock drift between two machines during a lease and for the time to read the clocks.
-    constexpr double leaseSafety = 1.05;
-    /// Heartbeat intervals until all backend servers of a new system have announced themselves.
-    constexpr double heartbeatsBeforeFirstMap = 2.2;
-    /// Additional delay per position in the order of nodes before a node acts as coordinator.
-    constexpr auto coordinatorStep = std::chrono::milliseconds(600);
-    /// Lets a node that detected the lost owner earlier, or the owner's own node, act first.
-    constexpr auto orphanGracePeriod = std::chrono::milliseconds(300);
-    /// After a simultaneous start of all nodes, each backend server is announced within about this time.
-    constexpr auto startupGracePeriod = std::chrono::milliseconds(2500);
-    /// Owners that are not lost release keys within about this time.
-    constexpr auto usualReleaseTime = std::chrono::milliseconds(2500);
-    /// Requests wait for a grant that is due within this time; earlier ones get a Retry-After response.
-    constexpr auto maxGrantWait = std::chrono::milliseconds(600);
-    constexpr int maxBackoffDoublings = 3; ///< A release must not be delayed by much more than a second.
-    constexpr std::size_t maxEndedLives = 64; ///< Far more than can end while a map change is in progress.
-    constexpr std::size_t maxSeenAssignments = 4096;
-
-    /// Milliseconds, by the clock of another machine, after which the holds of an unresponsive owner have expired.
-    std::int64_t silenceAfter(duration hold)
-    {
-        return static_cast<std::int64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(hold).count() * leaseSafety);
-    }
+namespace {
 
     hold_terms termsOf(const mesh_settings& settings)
     {
@@ -214,116 +167,6 @@
     propose();
 }
 
-void ownership::confirmIfDue(time_point now)
-{
-    const bool isOwner = !m_holdManager.life().empty() && m_map.hasOwner(m_holdManager.life());
-    if (!isOwner)
-        return;
-    // A write of this node that may still take effect would invalidate the promises of the others.
-    const auto age = now - m_holdManager.confirmedAt();
-    if (now >= m_extensionDueAt && m_unresolvedVersion != m_version && age > extensionAge) {
-        m_extensionDueAt = now + extensionInterval;
-        m_hooks.askOtherOwners();
-    }
-    if (now < m_confirmDueAt)
-        return;
-    m_confirmDueAt = now + confirmInterval;
-    const bool isAsked = age < ownCheckAge && m_hooks.askConfirmingOwner();
-    if (!isAsked)
-        checkMap([](bool) {});
-}
-
-void ownership::checkMap(std::function<void(bool isCurrent)> done)
-{
-    m_awaitingCheck.push_back(std::move(done));
-    if (m_awaitingCheck.size() > 1)
-        return;
-    const auto now = m_hooks.now();
-    conditional_write check;
-    check.checks.push_back({ m_row, m_version });
-    m_store.write(check, now + confirmTimeout, [this, version = m_version, now](const result<write_outcome>& outcome) {
-        handleCheckResult(version, now, outcome);
-    });
-}
-
-void ownership::handleCheckResult(row_version version, time_point sentAt, const result<write_outcome>& outcome)
-{
-    const auto waiting = std::exchange(m_awaitingCheck, {});
-    m_storeAnswered = outcome.has_value();
-    const bool isApplied = outcome.has_value() && outcome.value().isApplied;
-    if (isApplied)
-        recordCheck(version, sentAt);
-    else if (outcome.has_value())
-        adoptCurrent(outcome.value(), sentAt);
-    const bool isCurrent = isApplied && version == m_version;
-    if (isCurrent)
-        m_holdManager.confirm(m_map, sentAt);
-    for (const auto& done : waiting)
-        done(isCurrent);
-    propose();
-}
-
-void ownership::recordCheck(row_version version, time_point at)
-{
-    m_checkedAt = version == m_checkedVersion ? std::max(m_checkedAt, at) : at;
-    m_checkedVersion = version;
-}
-
-std::vector<life_name> ownership::otherOwners() const
-{
-    std::set<life_name> lives;
-    for (const auto& range : m_map.ranges())
-        lives.insert(range.owner);
-    lives.erase(m_holdManager.life());
-    lives.erase(life_name());
-    return { lives.begin(), lives.end() };
-}
-
-void ownership::onConfirmed(time_point at) { m_holdManager.confirm(m_map, at); }
-
-void ownership::onPromised(time_point askedAt)
-{
-    m_holdManager.extend(askedAt);
-    m_hooks.onChanged();
-}
-
-std::optional<duration> ownership::recentlyChecked() const
-{
-    if (m_checkedAt == time_point::min() || m_checkedVersion != m_version)
-        return std::nullopt;
-    const auto age = m_hooks.now() - m_checkedAt;
-    return age <= maxSharedCheckAge ? std::optional<duration>(age) : std::nullopt;
-}
-
-void ownership::handleConfirmation(const life_name& holder, row_version version, statement_function done)
-{
-    const auto state = [this, version](map_statement ofSame) {
-        if (version == m_version)
-            return ofSame;
-        return version < m_version ? map_statement::outdated : map_statement::unknown;
-    };
-    if (const auto age = recentlyChecked(); age && version <= m_version)
-        return done(state(map_statement::current), age);
-    if (!m_storeAnswered)
-        return done(version == m_version ? promise(holder) : state(map_statement::unknown), {});
-    checkMap([this, holder, version, state, done = std::move(done)](bool) {
-        if (const auto age = recentlyChecked())
-            return done(state(map_statement::current), age);
-        const bool isPromise = version == m_version && !m_storeAnswered;
-        done(isPromise ? promise(holder) : state(map_statement::unknown), {});
-    });
-}
-
-map_statement ownership::promise(const life_name& holder)
-{
-    const auto now = m_hooks.now();
-    const bool isOwner = m_map.hasOwner(m_holdManager.life());
-    if (!isOwner || m_isWriting || m_unresolvedVersion == m_version || now < m_startedAt + lateWriteTime)
-        return map_statement::unknown;
-    m_promisedUntil[holder] = now + std::chrono::duration_cast<duration>(promiseTime * leaseSafety);
-    return map_statement::promised;
-}
-
 void ownership::handleWriteFailure(const failure& reason)
 {
     if (reason.outcome != verdict::not_run)
--- /dev/null
+++ b/src/mesh/internal/ownership_confirmation.cpp
@@ -0,0 +1,118 @@
+#include "mesh/internal/ownership.h"
+#include "mesh/internal/ownership_timing.h"
+
+namespace heatherdrift {
+
+using namespace ownership_timing;
+
+void ownership::confirmIfDue(time_point now)
+{
+    const bool isOwner = !m_holdManager.life().empty() && m_map.hasOwner(m_holdManager.life());
+    if (!isOwner)
+        return;
+    // A write of this node that may still take effect would invalidate the promises of the others.
+    const auto age = now - m_holdManager.confirmedAt();
+    if (now >= m_extensionDueAt && m_unresolvedVersion != m_version && age > extensionAge) {
+        m_extensionDueAt = now + extensionInterval;
+        m_hooks.askOtherOwners();
+    }
+    if (now < m_confirmDueAt)
+        return;
+    m_confirmDueAt = now + confirmInterval;
+    const bool isAsked = age < ownCheckAge && m_hooks.askConfirmingOwner();
+    if (!isAsked)
+        checkMap([](bool) {});
+}
+
+void ownership::checkMap(std::function<void(bool isCurrent)> done)
+{
+    m_awaitingCheck.push_back(std::move(done));
+    if (m_awaitingCheck.size() > 1)
+        return;
+    const auto now = m_hooks.now();
+    conditional_write check;
+    check.checks.push_back({ m_row, m_version });
+    m_store.write(check, now + confirmTimeout, [this, version = m_version, now](const result<write_outcome>& outcome) {
+        handleCheckResult(version, now, outcome);
+    });
+}
+
+void ownership::handleCheckResult(row_version version, time_point sentAt, const result<write_outcome>& outcome)
+{
+    const auto waiting = std::exchange(m_awaitingCheck, {});
+    m_storeAnswered = outcome.has_value();
+    const bool isApplied = outcome.has_value() && outcome.value().isApplied;
+    if (isApplied)
+        recordCheck(version, sentAt);
+    else if (outcome.has_value())
+        adoptCurrent(outcome.value(), sentAt);
+    const bool isCurrent = isApplied && version == m_version;
+    if (isCurrent)
+        m_holdManager.confirm(m_map, sentAt);
+    for (const auto& done : waiting)
+        done(isCurrent);
+    propose();
+}
+
+void ownership::recordCheck(row_version version, time_point at)
+{
+    m_checkedAt = version == m_checkedVersion ? std::max(m_checkedAt, at) : at;
+    m_checkedVersion = version;
+}
+
+std::vector<life_name> ownership::otherOwners() const
+{
+    std::set<life_name> lives;
+    for (const auto& range : m_map.ranges())
+        lives.insert(range.owner);
+    lives.erase(m_holdManager.life());
+    lives.erase(life_name());
+    return { lives.begin(), lives.end() };
+}
+
+void ownership::onConfirmed(time_point at) { m_holdManager.confirm(m_map, at); }
+
+void ownership::onPromised(time_point askedAt)
+{
+    m_holdManager.extend(askedAt);
+    m_hooks.onChanged();
+}
+
+std::optional<duration> ownership::recentlyChecked() const
+{
+    if (m_checkedAt == time_point::min() || m_checkedVersion != m_version)
+        return std::nullopt;
+    const auto age = m_hooks.now() - m_checkedAt;
+    return age <= maxSharedCheckAge ? std::optional<duration>(age) : std::nullopt;
+}
+
+void ownership::handleConfirmation(const life_name& holder, row_version version, statement_function done)
+{
+    const auto state = [this, version](map_statement ofSame) {
+        if (version == m_version)
+            return ofSame;
+        return version < m_version ? map_statement::outdated : map_statement::unknown;
+    };
+    if (const auto age = recentlyChecked(); age && version <= m_version)
+        return done(state(map_statement::current), age);
+    if (!m_storeAnswered)
+        return done(version == m_version ? promise(holder) : state(map_statement::unknown), {});
+    checkMap([this, holder, version, state, done = std::move(done)](bool) {
+        if (const auto age = recentlyChecked())
+            return done(state(map_statement::current), age);
+        const bool isPromise = version == m_version && !m_storeAnswered;
+        done(isPromise ? promise(holder) : state(map_statement::unknown), {});
+    });
+}
+
+map_statement ownership::promise(const life_name& holder)
+{
+    const auto now = m_hooks.now();
+    const bool isOwner = m_map.hasOwner(m_holdManager.life());
+    if (!isOwner || m_isWriting || m_unresolvedVersion == m_version || now < m_startedAt + lateWriteTime)
+        return map_statement::unknown;
+    m_promisedUntil[holder] = now + std::chrono::duration_cast<duration>(promiseTime * leaseSafety);
+    return map_statement::promised;
+}
+
+} // namespace heatherdrift
