Record the release of keys only after their hold has ended by a slow clock

An owner's node that was silent for a while recorded its keys as released up to 2% of a hold (70 ms for a lease) before its backend server had stopped serving them, so that two backend servers held a key.

hold_manager reduces each hold by 2%, because a backend server's clock may run that much slow, and then took the reduced time as the end of the hold also where it decides that the keys are no longer held. It now keeps both ends: requests are sent until the reduced one, and keys count as held until the one by a slow clock.

Evidence: KeysAreReleasedAfterTheHoldHasEndedByASlowClock fails on the code before (releaseUnheld at 102% of the hold differs from the map) and passes now.

--- a/src/ranges/hold_manager.h
+++ b/src/ranges/hold_manager.h
@@ -100,7 +100,9 @@
     range_map m_map;
     time_point m_confirmedAt {}; ///< Epoch of the clock: never confirmed.
     time_point m_promisedUntil = time_point::min();
-    time_point m_holdEnd; ///< Latest end of any hold granted to the current incarnation.
+    /// Latest end of any hold granted to the current incarnation, if its clock runs slow.
+    time_point m_holdEnd;
+    time_point m_serveEnd = time_point::min(); ///< The same if its clock does not.
     std::vector<granted_range> m_granted; ///< Granted by the last answer.
     /// Granted by the answer before the last one; the last report may have been sent before the last answer arrived.
     std::vector<granted_range> m_previouslyGranted;
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -45,7 +45,7 @@
 {
     // A previous process may have granted holds to the first incarnation seen by this process, but to no later one.
     if (!m_life.empty())
-        m_holdEnd = time_point::min();
+        m_holdEnd = m_serveEnd = time_point::min();
     m_life = life;
     m_granted.clear();
     m_previouslyGranted.clear();
@@ -105,7 +105,9 @@
         std::erase_if(m_released, [&](const auto& released) { return released.keys.intersects(range.keys); });
     }
     m_previouslyGranted = std::exchange(m_granted, grant.ranges);
-    m_holdEnd = std::max(m_holdEnd, receivedAt + grant.hold);
+    m_serveEnd = std::max(m_serveEnd, receivedAt + grant.hold);
+    const auto bySlowClock = std::chrono::ceil<duration>(grant.hold / (1 - m_terms.clockDrift));
+    m_holdEnd = std::max(m_holdEnd, receivedAt + bySlowClock);
     return grant;
 }
 
@@ -142,7 +144,7 @@
 
 bool hold_manager::mayServe(key_number key, time_point now) const
 {
-    if (now + serveMargin >= m_holdEnd)
+    if (now + serveMargin >= m_serveEnd)
         return false;
     return std::ranges::any_of(m_granted, [&](const auto& range) { return range.keys.contains(key); });
 }
--- a/src/ranges/tests/hold_manager_test.cpp
+++ b/src/ranges/tests/hold_manager_test.cpp
@@ -123,6 +123,19 @@
         EXPECT_TRUE(manager.releaseUnheld(moved, start + seconds(5)).find(0).releasing.empty());
     }
 
+    // Guards against a release while a backend server whose clock runs slow still holds the keys.
+    TEST_F(HoldManagerTest, KeysAreReleasedAfterTheHoldHasEndedByASlowClock)
+    {
+        manager.startLife("a");
+        manager.startLife("b");
+        manager.confirm(range_map().assign(all, "b", 1), start);
+        const auto grant = reportAndGrant(start);
+        const auto moved = range_map().assign(all, "b", 1).assign(all, "c", 2);
+        const auto endBySlowClock = start + std::chrono::duration_cast<duration>(grant.hold * 1.02);
+        EXPECT_EQ(manager.releaseUnheld(moved, endBySlowClock), moved);
+        EXPECT_NE(manager.releaseUnheld(moved, endBySlowClock + milliseconds(10)), moved);
+    }
+
     // Guards against a release by a new process while a hold granted by the previous process is still in force.
     TEST_F(HoldManagerTest, ANewProcessRespectsHoldsOfThePreviousOne)
     {
