Keep keys with one owner when the store comes back from an older copy

Cause: ownership rests on a range map that nobody loses. After a restore its versions, and the tokens made from them, are given out again; owners of the older map are granted keys that owners of the lost one still hold; and a write that was prepared before finds its expected version again, with other content.

Change: - The row of the map is named by the era of the store, and versions and tokens contain the era. A late write of an earlier era can only change a row that is no longer in use; a client cannot tell this by the number that the store compares. - The first map of an era is written by an owner that has asked the others for newer maps. Each range keeps its owner, gets a token of the new era, and lists an unknown holder for 12 s. A hold by a lost map ends at most a lease and the longest extension (11.5 s) after the restore, since nothing after it can confirm that map. - Until a node knows that map, its own one confirms nothing, for itself and for others, and grants nothing. - The number of an earlier row that is read in a later era is not comparable with those of its own era, so that its map counts as older than all maps of that era. - A map that is built from nothing lists the unknown holder too, unless the whole system starts for the first time and the store has not come back meanwhile.

Not solved here: keys are not served for up to 12 s after a restore.

--- a/src/mesh/internal/mesh_metrics.h
+++ b/src/mesh/internal/mesh_metrics.h
@@ -44,6 +44,7 @@
     void write(conditional_write, time_point deadline, std::function<void(result<write_outcome>)>) override;
     void watch(std::string table, row_version after, duration wait, time_point deadline,
         std::function<void(result<row_snapshot>)>) override;
+    void onRestored(std::function<void(store_era)> hook) override { m_store->onRestored(std::move(hook)); }
 
 private:
     template <typename Value>
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 
-    constexpr const char* rangeTable = "heatherdrift-ranges"; ///< Keyed by service.
+    constexpr const char* rangeTable = "heatherdrift-ranges"; ///< Keyed by service and era of the store.
     /// A configuration has to be in force within two seconds, even if the nodes that poll the store are lost.
     constexpr watch_timing configurationTiming {};
     /// Member changes may arrive later, since gates report in their responses that they are draining.
@@ -124,12 +124,14 @@
                       },
                       [this] { return m_tables.place(); }, m_random })
             , m_rangeWatcher(base, *m_store, rangeTable, rangeTiming,
-                  { [this](const row_change& row) { onRangesChanged(row); }, [this] { m_ownership.onTableRead(); },
-                      nullptr, [] { return fleet_place(); }, m_random })
+                  { [this](const row_change& row) { m_ownership.onRowChanged(row); },
+                      [this] { m_ownership.onTableRead(eraOf(m_rangeWatcher.copy().version())); }, nullptr,
+                      [] { return fleet_place(); }, m_random })
             , m_tables(base, m_settings, m_directory, m_configurationWatcher, m_memberWatcher,
                   { [this](const instance_id& node) { m_watch.probe(node); } })
             , m_stopPoll(base, [this] { stopIfDone(); })
         {
+            m_store->onRestored([this](store_era era) { m_ownership.onStoreRestored(era); });
         }
 
         result<void> listen()
@@ -249,12 +251,6 @@
             startOwnershipIfDue();
         }
 
-        void onRangesChanged(const row_change& row)
-        {
-            if (row.key.key == m_settings.service)
-                m_ownership.onRowChanged(row);
-        }
-
         void startOwnershipIfDue()
         {
             if (!isPartitioned() || std::exchange(m_isOwnershipStarted, true))
--- a/src/mesh/internal/owner_exchange.cpp
+++ b/src/mesh/internal/owner_exchange.cpp
@@ -91,11 +91,11 @@
 
 void owner_exchange::handleAnswer(const std::shared_ptr<confirmation_round>& round, const result<http_response>& answer)
 {
-    if (answer.has_error() || round->version != m_ownership.version())
+    if (answer.has_error())
         return;
     const auto statement = answer.value().head.headers.find(statementHeader).value_or("");
-    if (statement == nameOf(map_statement::current))
-        return m_ownership.onConfirmed(round->askedAt - confirmedAgo(answer.value().head));
+    // Other owners may have answered with newer maps since, but the newest of all is needed after a restore of the
+    // store.
     if (statement == nameOf(map_statement::outdated)) {
         const auto newer = parseVersionedRanges(answer.value().body);
         if (newer.has_error() || newer.value().version < m_ownership.version())
@@ -103,6 +103,10 @@
         m_ownership.adoptNewer(newer.value().map, newer.value().version);
         return m_ownership.onConfirmed(round->askedAt - confirmedAgo(answer.value().head));
     }
+    if (round->version != m_ownership.version())
+        return;
+    if (statement == nameOf(map_statement::current))
+        return m_ownership.onConfirmed(round->askedAt - confirmedAgo(answer.value().head));
     if (statement == nameOf(map_statement::promised) && ++round->promisedCount == round->askedCount)
         m_ownership.onPromised(round->askedAt);
 }
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -26,6 +26,7 @@
     , m_row(std::move(mapRow))
     , m_hooks(std::move(hooks))
     , m_holdManager(termsOf(settings), m_hooks.now())
+    , m_eraNotedAt(m_hooks.now())
     , m_startedAt(m_hooks.now())
     , m_random(seededRandom(hashBytes(settings.node)))
     , m_tick(base, [this] { advance(); })
@@ -34,36 +35,24 @@
 
 void ownership::start() { m_tick.startRepeating(tickInterval); }
 
-void ownership::onRowChanged(const row_change& row)
-{
-    if (row.version <= m_version || !row.value)
-        return;
-    const auto map = range_map::fromJson(*row.value);
-    if (map.has_value())
-        adopt(map.value(), row.version, std::nullopt);
-    else
-        logEvent(log_event::peer_message_rejected, { { "target", m_row.key }, { "reason", map.error().message } });
-}
-
-void ownership::onTableRead() { m_isTableRead = true; }
-
 void ownership::adopt(const range_map& map, row_version version, std::optional<time_point> readAt)
 {
+    noteEra(eraOf(version));
     if (version < m_version)
         return;
     if (version != m_version)
         logMap(map, version, readAt.has_value());
+    const auto now = m_hooks.now();
     m_version = version;
     m_map = map;
-    const auto now = m_hooks.now();
     for (const auto& range : map.ranges())
         m_firstSeenAt.try_emplace(range.fence, now);
     if (m_firstSeenAt.size() > maxSeenAssignments)
         m_firstSeenAt.erase(m_firstSeenAt.begin());
-    if (readAt)
+    if (readAt && !isMapOutdated())
         m_holdManager.confirm(map, *readAt);
     else
-        m_holdManager.setMap(map);
+        m_holdManager.setMap(forHolds(map));
     m_hooks.onChanged();
 }
 
@@ -167,14 +156,17 @@
     propose();
 }
 
-void ownership::handleWriteFailure(const failure& reason)
+void ownership::handleWriteFailure(const failure& reason, store_era era)
 {
-    if (reason.outcome != verdict::not_run)
-        m_unresolvedVersion = m_version;
-    // A write whose response was lost may still take effect. The table watch then delivers it, and a later write
-    // conflicts with it.
-    m_mayWriteAt = m_hooks.now() + writeBackoff;
-    m_confirmDueAt = time_point::min();
+    // A write of an earlier era only changes a row that is no longer in use.
+    if (era == m_era) {
+        if (reason.outcome != verdict::not_run)
+            m_unresolvedVersion = m_version;
+        // A write whose response was lost may still take effect. The table watch then delivers it, and a later write
+        // conflicts with it.
+        m_mayWriteAt = m_hooks.now() + writeBackoff;
+        m_confirmDueAt = time_point::min();
+    }
     logEvent(log_event::range_map_write_failed,
         { { "version", std::to_string(m_version) }, { "verdict", std::string(toString(reason.outcome)) },
             { "reason", reason.message } });
@@ -188,15 +180,19 @@
 range_map ownership::releaseAfterSilence(const range_map& map, time_point now) const
 {
     range_map out = map;
+    const bool isFirst = isFirstOwner();
     for (const auto& range : map.ranges()) {
-        if (range.owner != m_holdManager.life() || range.releasing.empty())
+        const bool isOwn = range.owner == m_holdManager.life();
+        if (range.releasing.empty() || !(isOwn || (isFirst && range.mayHaveUnknownHolder())))
             continue;
         const auto seen = m_firstSeenAt.find(range.fence);
         const auto silence = std::chrono::milliseconds(range.silenceMs);
         if (range.silenceMs == 0 || seen == m_firstSeenAt.end() || now - seen->second < silence)
             continue;
-        for (const auto& life : range.releasing)
-            out = out.release(life, range.keys, "");
+        for (const auto& life : range.releasing) {
+            if (isOwn || life == unknownHolder)
+                out = out.release(life, range.keys, "");
+        }
     }
     return out;
 }
@@ -227,6 +223,8 @@
         due = std::max(due,
             m_startedAt + std::chrono::duration_cast<duration>(m_settings.heartbeatInterval * heartbeatsBeforeFirstMap)
                 + rank * coordinatorStep);
+    else
+        due = std::max(due, m_startedAt + startupGracePeriod);
     if (now < due)
         return map;
     std::vector<range_candidate> ranges;
@@ -237,7 +235,10 @@
             return map;
     }
     const auto silence = isOwner ? duration(leaseTime) : duration(leaseTime + maxExtension);
-    return assignUnowned(map, ranges, m_version + 1, silenceAfter(silence));
+    const auto assigned = assignUnowned(map, ranges, nextFence(), silenceAfter(silence));
+    return m_version == 0 && mayHaveLostMaps()
+        ? assigned.withUnknownHolder(nextFence(), silenceAfter(leaseTime + maxExtension))
+        : assigned;
 }
 
 range_map ownership::balance(const range_map& map, time_point now)
@@ -247,7 +248,7 @@
     const bool mayMove = !m_isDraining && m_storeAnswered && now >= m_startedAt + startupGracePeriod
         && m_map.hasOwner(m_holdManager.life())
         && std::ranges::none_of(m_promisedUntil, [&](const auto& entry) { return now < entry.second; });
-    return mayMove ? m_hooks.balance(map, m_version + 1, now) : map;
+    return mayMove ? m_hooks.balance(map, nextFence(), now) : map;
 }
 
 std::optional<range_map> ownership::nextMap(time_point now)
@@ -256,6 +257,8 @@
     // set only when it is large.
     if (m_endedLives.size() > maxEndedLives)
         std::erase_if(m_endedLives, [&](const auto& ended) { return !m_map.names(ended); });
+    if (isMapOutdated())
+        return firstMapOfEra(now);
     range_map next = m_map;
     const auto& life = m_holdManager.life();
     for (const auto& ended : m_endedLives) {
@@ -263,7 +266,7 @@
             continue;
         // Only a later life of the same backend server takes over its ranges unchanged.
         const bool hasSuccessor = !life.empty() && life != ended && !m_isDraining && ended == m_previousLife;
-        next = next.replace(ended, hasSuccessor ? life : life_name(), m_version + 1);
+        next = next.replace(ended, hasSuccessor ? life : life_name(), nextFence());
     }
     if (!life.empty()) {
         next = m_holdManager.releaseUnheld(next, now);
@@ -273,7 +276,7 @@
         std::vector<range_candidate> others;
         for (const auto& candidate : m_hooks.candidates())
             others.push_back(candidate.range);
-        next = assignFrom(next, life, others, m_version + 1);
+        next = assignFrom(next, life, others, nextFence());
     }
     next = coordinate(next, now);
     next = balance(next, now);
@@ -293,17 +296,27 @@
         return;
     m_isWriting = true;
     conditional_write change;
-    change.checks.push_back({ m_row, m_version });
-    change.changes.push_back({ m_row, 0, next->toJson() });
-    m_store.write(std::move(change), now + writeTimeout,
-        [this, map = *next, now](result<write_outcome> outcome) { handleWriteResult(map, now, std::move(outcome)); });
+    change.checks.push_back({ currentRow(), expectedVersion() });
+    change.changes.push_back({ currentRow(), 0, next->toJson() });
+    if (expectedVersion() == 0) {
+        for (const auto& row : m_earlierRows)
+            change.changes.push_back({ row, 0, std::nullopt });
+    }
+    m_store.write(
+        std::move(change), now + writeTimeout, [this, map = *next, era = m_era, now](result<write_outcome> outcome) {
+            handleWriteResult(map, era, now, std::move(outcome));
+        });
 }
 
-void ownership::handleWriteResult(const range_map& proposed, time_point sentAt, result<write_outcome> outcome)
+void ownership::handleWriteResult(
+    const range_map& proposed, store_era era, time_point sentAt, result<write_outcome> outcome)
 {
     m_isWriting = false;
     if (outcome.has_error())
-        return handleWriteFailure(outcome.error());
+        return handleWriteFailure(outcome.error(), era);
+    if (eraOf(outcome.value().version) > era)
+        return handleWriteFailure(
+            mayHaveRun(error_code::store_restored, "the row of an earlier era of the store was written"), era);
     if (!outcome.value().isApplied) {
         adoptCurrent(outcome.value(), sentAt);
         backOff();
@@ -321,7 +334,7 @@
 void ownership::adoptCurrent(const write_outcome& outcome, time_point sentAt)
 {
     for (const auto& row : outcome.current) {
-        if (row.key != m_row || !row.value)
+        if (row.key != currentRow() || eraOf(row.version) != m_era || !row.value)
             continue;
         const auto map = range_map::fromJson(*row.value);
         if (map.has_error()) {
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -42,14 +42,20 @@
 /// Manages the keys of the backend server beside this node: which keys it may hold, and this node's changes to the
 /// range map of its service in the store. Every change is a compare-and-set; after a conflict it is computed again from
 /// the newest map.
+///
+/// The row of the map is named by the era of the store (KEY@ERA). A write that was prepared in an earlier era can thus
+/// only change a row that is no longer in use, even if the version that it expects was given out again.
 class ownership {
 public:
     ownership(event_base*, const mesh_settings&, watched_store&, row_key mapRow, ownership_hooks);
 
-    /// Called when the row of the range map was read or has changed.
+    /// Called when a row of the table of range maps was read or has changed.
     void onRowChanged(const row_change&);
-    /// Called when the whole table was read, so that a row that was not seen does not exist.
-    void onTableRead();
+    /// Called when the whole table was read in this era, so that a row that was not seen does not exist.
+    void onTableRead(store_era);
+    /// Called when the store came back from an older copy. The map then belongs to an earlier era until the first map
+    /// of this era is known; see nextMap().
+    void onStoreRestored(store_era era) { noteEra(era); }
     /// Starts calling advance() periodically.
     void start();
     /// Sends the confirmations and map changes that are due.
@@ -92,6 +98,20 @@
     bool isStoreAvailable() const { return m_storeAnswered; }
 
 private:
+    void noteEra(store_era);
+    /// Whether the known map is of an earlier era of the store, so that the store may have lost newer ones.
+    bool isMapOutdated() const { return m_version > 0 && eraOf(m_version) < m_era; }
+    /// Whether keys that no map names may be held although no map is known.
+    bool mayHaveLostMaps() const { return m_isRestored || !m_settings.isFirstStart; }
+    row_key currentRow() const;
+    std::optional<store_era> eraOfRow(const row_key&) const;
+    /// Version that the current row must have for a check or write; 0: it must not exist.
+    row_version expectedVersion() const { return isMapOutdated() ? 0 : m_version; }
+    fencing_token nextFence() const;
+    range_map forHolds(const range_map&) const;
+    time_point firstMapDueAt() const;
+    std::optional<range_map> firstMapOfEra(time_point now);
+    bool isFirstOwner() const;
     void adopt(const range_map&, row_version, std::optional<time_point> readAt);
     void confirmIfDue(time_point now);
     void recordCheck(row_version, time_point at);
@@ -100,14 +120,14 @@
     range_map coordinate(const range_map&, time_point now);
     range_map balance(const range_map&, time_point now);
     void propose();
-    void handleWriteResult(const range_map& proposed, time_point sentAt, result<write_outcome>);
+    void handleWriteResult(const range_map& proposed, store_era, time_point sentAt, result<write_outcome>);
     /// Checks at the store whether the map is current. Checks requested meanwhile share the response.
     void checkMap(std::function<void(bool isCurrent)>);
     void handleCheckResult(row_version, time_point sentAt, const result<write_outcome>&);
     /// Time since the store confirmed the present map, if recent enough to be passed on to other owners.
     std::optional<duration> recentlyChecked() const;
     map_statement promise(const life_name& holder);
-    void handleWriteFailure(const failure&);
+    void handleWriteFailure(const failure&, store_era);
     void logGrant(const hold_grant&, std::size_t before, time_point receivedAt) const;
     void logMap(const range_map&, row_version, bool isOwnCall) const;
     /// Adopts the map in the response to a rejected write or check.
@@ -117,6 +137,8 @@
     bool isGrantImminent(const owned_range&) const;
     bool isCandidate(const life_name&, const std::vector<owner_candidate>&) const;
 
+    static constexpr store_era noEra = -1;
+
     const mesh_settings& m_settings;
     watched_store& m_store;
     row_key m_row;
@@ -125,6 +147,12 @@
     range_map m_map;
     row_version m_version = 0;
     bool m_isTableRead = false;
+    store_era m_era = noEra; ///< Latest known era of the store.
+    bool m_isRestored = false; ///< The store has come back from a copy since this process started.
+    time_point m_eraNotedAt;
+    /// Time until which newer maps of the earlier era are collected from the other owners; min(): not asked yet.
+    time_point m_collectingUntil = time_point::min();
+    std::set<row_key> m_earlierRows; ///< Rows of earlier eras that exist in this one.
     bool m_isDraining = false;
     std::set<life_name> m_endedLives; ///< Lives that are certain to have ended and may still be in the map.
     std::map<fencing_token, time_point> m_firstSeenAt; ///< Time at which this process first saw an assignment.
--- a/src/mesh/internal/ownership_confirmation.cpp
+++ b/src/mesh/internal/ownership_confirmation.cpp
@@ -10,16 +10,18 @@
     const bool isOwner = !m_holdManager.life().empty() && m_map.hasOwner(m_holdManager.life());
     if (!isOwner)
         return;
-    // A write of this node that may still take effect would invalidate the promises of the others.
+    // A write of this node that may still take effect would invalidate the promises of the others. One of an earlier
+    // era only changes a row that is no longer in use.
     const auto age = now - m_holdManager.confirmedAt();
-    if (now >= m_extensionDueAt && m_unresolvedVersion != m_version && age > extensionAge) {
+    const bool mayAsk = isMapOutdated() || m_unresolvedVersion != m_version;
+    if (now >= m_extensionDueAt && mayAsk && age > extensionAge) {
         m_extensionDueAt = now + extensionInterval;
         m_hooks.askOtherOwners();
     }
     if (now < m_confirmDueAt)
         return;
     m_confirmDueAt = now + confirmInterval;
-    const bool isAsked = age < ownCheckAge && m_hooks.askConfirmingOwner();
+    const bool isAsked = (isMapOutdated() || age < ownCheckAge) && m_hooks.askConfirmingOwner();
     if (!isAsked)
         checkMap([](bool) {});
 }
@@ -31,7 +33,7 @@
         return;
     const auto now = m_hooks.now();
     conditional_write check;
-    check.checks.push_back({ m_row, m_version });
+    check.checks.push_back({ currentRow(), expectedVersion() });
     m_store.write(check, now + confirmTimeout, [this, version = m_version, now](const result<write_outcome>& outcome) {
         handleCheckResult(version, now, outcome);
     });
@@ -40,15 +42,15 @@
 void ownership::handleCheckResult(row_version version, time_point sentAt, const result<write_outcome>& outcome)
 {
     const auto waiting = std::exchange(m_awaitingCheck, {});
-    m_storeAnswered = outcome.has_value();
+    m_storeAnswered = outcome.has_value() || outcome.error().code == error_code::store_restored;
     const bool isApplied = outcome.has_value() && outcome.value().isApplied;
-    if (isApplied)
-        recordCheck(version, sentAt);
-    else if (outcome.has_value())
+    if (outcome.has_value() && !isApplied)
         adoptCurrent(outcome.value(), sentAt);
-    const bool isCurrent = isApplied && version == m_version;
-    if (isCurrent)
+    const bool isCurrent = isApplied && version == m_version && !isMapOutdated();
+    if (isCurrent) {
+        recordCheck(version, sentAt);
         m_holdManager.confirm(m_map, sentAt);
+    }
     for (const auto& done : waiting)
         done(isCurrent);
     propose();
@@ -70,7 +72,11 @@
     return { lives.begin(), lives.end() };
 }
 
-void ownership::onConfirmed(time_point at) { m_holdManager.confirm(m_map, at); }
+void ownership::onConfirmed(time_point at)
+{
+    if (!isMapOutdated())
+        m_holdManager.confirm(m_map, at);
+}
 
 void ownership::onPromised(time_point askedAt)
 {
@@ -80,7 +86,7 @@
 
 std::optional<duration> ownership::recentlyChecked() const
 {
-    if (m_checkedAt == time_point::min() || m_checkedVersion != m_version)
+    if (m_checkedAt == time_point::min() || m_checkedVersion != m_version || isMapOutdated())
         return std::nullopt;
     const auto age = m_hooks.now() - m_checkedAt;
     return age <= maxSharedCheckAge ? std::optional<duration>(age) : std::nullopt;
@@ -95,7 +101,7 @@
     };
     if (const auto age = recentlyChecked(); age && version <= m_version)
         return done(state(map_statement::current), age);
-    if (!m_storeAnswered)
+    if (!m_storeAnswered || isMapOutdated() || m_era == noEra)
         return done(version == m_version ? promise(holder) : state(map_statement::unknown), {});
     checkMap([this, holder, version, state, done = std::move(done)](bool) {
         if (const auto age = recentlyChecked())
@@ -109,6 +115,9 @@
 {
     const auto now = m_hooks.now();
     const bool isOwner = m_map.hasOwner(m_holdManager.life());
+    // In a later era nobody takes keys over before all holds of the earlier one have ended.
+    if (isMapOutdated())
+        return map_statement::promised;
     if (!isOwner || m_isWriting || m_unresolvedVersion == m_version || now < m_startedAt + lateWriteTime)
         return map_statement::unknown;
     m_promisedUntil[holder] = now + std::chrono::duration_cast<duration>(promiseTime * leaseSafety);
--- a/src/ranges/internal/range_map.cpp
+++ b/src/ranges/internal/range_map.cpp
@@ -125,6 +125,11 @@
     return value;
 }
 
+bool owned_range::mayHaveUnknownHolder() const
+{
+    return std::ranges::find(releasing, unknownHolder) != releasing.end();
+}
+
 range_map::range_map()
     : m_ranges { { { 0, lastKey }, {}, 0, {}, {}, 0 } }
 {
@@ -229,6 +234,17 @@
     return range_map(std::move(ranges));
 }
 
+range_map range_map::withUnknownHolder(fencing_token minFence, std::int64_t silenceMs) const
+{
+    auto ranges = m_ranges;
+    for (auto& range : ranges) {
+        addOnce(range.releasing, unknownHolder);
+        range.fence = std::max(range.fence, minFence);
+        range.silenceMs = std::max(range.silenceMs, silenceMs);
+    }
+    return range_map(std::move(ranges));
+}
+
 range_map range_map::withSilence(std::int64_t silenceMs) const
 {
     auto ranges = m_ranges;
--- a/src/ranges/range_map.h
+++ b/src/ranges/range_map.h
@@ -32,6 +32,9 @@
 life_name makeLife(const std::string& id, std::int64_t startedAtMs);
 /// Start of an incarnation in milliseconds since 1970; 0 if the name does not contain it.
 std::int64_t startOf(const life_name&);
+/// Stands among the earlier owners of keys for an incarnation that may hold them although no map names it, because the
+/// store has lost its newest maps.
+inline const life_name unknownHolder = "unknown-holder";
 /// Never decreases over the history of a key; backend servers reject a grant with a lower token than one seen before.
 using fencing_token = std::int64_t;
 
@@ -45,6 +48,7 @@
     /// Milliseconds without contact after which an earlier owner no longer holds the keys; 0: not decided.
     std::int64_t silenceMs = 0;
 
+    bool mayHaveUnknownHolder() const;
     bool operator==(const owned_range&) const = default;
 };
 
@@ -75,6 +79,10 @@
     /// owner.
     range_map replace(const life_name& ended, const life_name& successor, fencing_token) const;
 
+    /// Records for all keys that an unknown incarnation may hold them for the given time, and raises their tokens to at
+    /// least the given one. The owners stay.
+    range_map withUnknownHolder(fencing_token minFence, std::int64_t silenceMs) const;
+
     /// Merges adjacent ranges of the same owner that no earlier owner may hold, with the higher token.
     range_map mergeSettled() const;
 
--- a/src/ranges/tests/hold_manager_test.cpp
+++ b/src/ranges/tests/hold_manager_test.cpp
@@ -144,6 +144,17 @@
         EXPECT_EQ(manager.releaseUnheld(moved, start + seconds(3)), moved);
     }
 
+    // Guards against keys granted on the word of an older copy of the map, which an incarnation of a lost map still
+    // holds.
+    TEST_F(HoldManagerTest, KeysWithAnUnknownHolderAreNotGranted)
+    {
+        manager.startLife("a");
+        manager.confirm(owned.withUnknownHolder(50, 12000), start);
+        const auto grant = reportAndGrant(start);
+        EXPECT_TRUE(grant.isValid);
+        EXPECT_TRUE(grant.ranges.empty());
+    }
+
     // Guards against grants of an ended incarnation that still apply to the next one.
     TEST_F(HoldManagerTest, ANewIncarnationHoldsNothing)
     {
--- a/src/ranges/tests/range_map_test.cpp
+++ b/src/ranges/tests/range_map_test.cpp
@@ -82,6 +82,21 @@
         EXPECT_EQ(map.replace("a", "c", 3).find(15).silenceMs, 0);
     }
 
+    // Guards against keys granted on the word of an older copy of the map, while an incarnation that a lost map named
+    // still holds them, and against tokens that are not above those of the lost map.
+    TEST(RangeMap, KeysOfAnOlderCopyMayHaveAnUnknownHolder)
+    {
+        const auto before = range_map().assign({ 0, lastKey }, "a", 1).assign({ 10, 20 }, "b", 2, 3000);
+        const auto map = before.withUnknownHolder(50, 12000);
+        EXPECT_EQ(map.find(5), (owned_range { { 0, 9 }, "a", 50, { unknownHolder }, "", 12000 }));
+        EXPECT_EQ(map.find(15), (owned_range { { 10, 20 }, "b", 50, { "a", unknownHolder }, "", 12000 }));
+        EXPECT_TRUE(map.find(5).mayHaveUnknownHolder());
+        EXPECT_FALSE(before.find(15).mayHaveUnknownHolder());
+        EXPECT_EQ(map.withUnknownHolder(0, 0), map);
+        EXPECT_EQ(range_map::fromJson(map.toJson()).value(), map);
+        EXPECT_EQ(map.assign({ 5, 5 }, "c", 51).find(5).releasing, (std::vector<life_name> { unknownHolder, "a" }));
+    }
+
     // Guards against a map that exceeds the size of a row of the store (64 KiB), so that no key can be moved any more:
     // the store rejected every change of a map that had 351 ranges.
     TEST(RangeMap, FullMapFitsIntoARow)
