Let backend servers announce themselves before their keys are moved after a restore

An owner whose member row was written within the time that a restored store has lost is unknown for a moment. The other owners moved its keys 0.3 s after the first map of the new era, so that they changed hands for nothing and were not served for the 12 s of the unknown holder.

The grace period after a start now also follows each restore that the node learns of (2.5 s). Until then the owner can write its member row again.

Evidence: KeysOfAnOwnerThatTheStoreHasLostAreNotMovedAtOnce fails before (the keys of the lost owner belong to the other one 2 s after the restore) and passes now; it also checks that they are moved after 4 s if the owner stays away.

--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -221,14 +221,15 @@
     const auto rank = std::count_if(candidates.begin(), self,
         [&](const auto& candidate) { return m_version == 0 || !isOwner || m_map.hasOwner(candidate.range.life); });
     time_point due = m_orphanedSince + rank * coordinatorStep;
+    // After a restore of the store, as after a start, backend servers have to announce themselves first.
     if (m_version > 0)
-        due = std::max(due + (isOwner ? orphanGracePeriod : nonOwnerTakeoverDelay), m_startedAt + startupGracePeriod);
+        due = std::max(due + (isOwner ? orphanGracePeriod : nonOwnerTakeoverDelay), m_eraNotedAt + startupGracePeriod);
     else if (m_settings.isFirstStart)
         due = std::max(due,
             m_startedAt + std::chrono::duration_cast<duration>(m_settings.heartbeatInterval * heartbeatsBeforeFirstMap)
                 + rank * coordinatorStep);
     else
-        due = std::max(due, m_startedAt + startupGracePeriod);
+        due = std::max(due, m_eraNotedAt + startupGracePeriod);
     if (now < due)
         return map;
     std::vector<range_candidate> ranges;
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -149,7 +149,7 @@
     bool m_isTableRead = false;
     store_era m_era = noEra; ///< Latest known era of the store.
     bool m_isRestored = false; ///< The store has come back from a copy since this process started.
-    time_point m_eraNotedAt;
+    time_point m_eraNotedAt; ///< Start of this process, or the last restore that it has learned of.
     /// Time until which newer maps of the earlier era are collected from the other owners; min(): not asked yet.
     time_point m_collectingUntil = time_point::min();
     time_point m_proofDueAt = time_point::min();
--- a/src/mesh/tests/ownership_restore_test.cpp
+++ b/src/mesh/tests/ownership_restore_test.cpp
@@ -65,7 +65,10 @@
 
         std::vector<owner_candidate> candidates() const
         {
-            return { { "n1", { self, 0 }, true }, { "n2", { other, 0 }, true } };
+            std::vector<owner_candidate> known { { "n1", { self, 0 }, true } };
+            if (isOtherKnown)
+                known.push_back({ "n2", { other, 0 }, true });
+            return known;
         }
 
         const life_name self = "i@1";
@@ -74,16 +77,14 @@
             = range_map().assign({ 0, lastKey }, self, 1).assign({ 0, 99 }, other, 2).release(self, { 0, 99 }, "");
         time_point now { std::chrono::hours(1) };
         std::int64_t sequence = 0;
+        bool isOtherKnown = true;
         hold_grant grant;
         event_base_handle base { event_base_new() };
         simulated_store store;
         simulated_store_client client;
         mesh_settings settings = makeSettings();
         ownership keys { base.get(), settings, client, { "ranges", "service" },
-            ownership_hooks { [this] { return now; },
-                [this] {
-                    return std::vector<owner_candidate> { { "n1", { self, 0 }, true } };
-                },
+            ownership_hooks { [this] { return now; }, [this] { return candidates(); },
                 [](const range_map& map, fencing_token, time_point) { return map; }, [] {}, [] {}, [] { return false; },
                 [](const std::set<life_name>&) {}, [](const life_name&) { return true; } } };
     };
@@ -142,6 +143,20 @@
         EXPECT_EQ(grant.ranges[0].keys, (key_range { 100, lastKey }));
     }
 
+    // Guards against keys that are taken from an owner whose member row the store has lost, before it can write it
+    // again.
+    TEST_F(OwnershipRestoreTest, KeysOfAnOwnerThatTheStoreHasLostAreNotMovedAtOnce)
+    {
+        run(seconds(5));
+        store.restore(now, 0);
+        isOtherKnown = false;
+        run(seconds(2));
+        ASSERT_EQ(eraOf(keys.version()), 2);
+        EXPECT_EQ(keys.map().find(0).owner, other);
+        run(seconds(2));
+        EXPECT_EQ(keys.map().find(0).owner, self);
+    }
+
     // Guards against a hold that is renewed by a check of an earlier era, answered only after the restore.
     TEST_F(OwnershipRestoreTest, AnEarlierMapIsNotConfirmed)
     {
@@ -182,10 +197,7 @@
         settings.isFirstStart = false;
         simulated_store_client otherClient;
         ownership restarted { base.get(), settings, otherClient, { "ranges", "service" },
-            ownership_hooks { [this] { return now; },
-                [this] {
-                    return std::vector<owner_candidate> { { "n1", { self, 0 }, true } };
-                },
+            ownership_hooks { [this] { return now; }, [this] { return candidates(); },
                 [](const range_map& map, fencing_token, time_point) { return map; }, [] {}, [] {}, [] { return false; },
                 [](const std::set<life_name>&) {}, [](const life_name&) { return true; } } };
         restarted.onTableRead(3);
