Answer calls to the store late in the histories of ownership

The simulated store answered each call at once, so no answer of an earlier era arrived after a restore.

--- a/src/mesh/tests/ownership_history.h
+++ b/src/mesh/tests/ownership_history.h
@@ -25,6 +25,13 @@
     }
 };
 
+/// A call to the store that is under way: it is applied and answered at the given time, or only answered.
+struct slow_call {
+    time_point at {};
+    simulated_store_client::pending_write call;
+    std::optional<write_outcome> outcome;
+};
+
 struct simulated_node {
     instance_id name;
     mesh_settings settings;
@@ -33,6 +40,7 @@
     simulated_backend backend;
     bool isCutFromStore = false;
     bool isCutFromPeers = false;
+    std::vector<slow_call> slowCalls;
     bool isTableRead = false;
     time_point frozenUntil {};
     time_point nextHeartbeat {};
@@ -46,6 +54,7 @@
         : m_random(seed)
         , m_base(event_base_new())
         , m_nodes(nodes)
+        , m_hasFeed(seed % 5 > 0)
         , m_pushesMaps(seed % 3 > 0)
     {
         for (std::size_t i = 0; i < nodes; ++i) {
@@ -107,6 +116,7 @@
         node.keys.reset();
         node.settings.isFirstStart = m_now == startTime;
         node.store = std::make_unique<simulated_store_client>();
+        node.slowCalls.clear();
         node.isTableRead = false;
         node.keys = std::make_unique<ownership>(m_base.get(), node.settings, *node.store, m_mapRow,
             ownership_hooks { [this] { return m_now; }, [this, &node] { return candidates(node); },
@@ -277,12 +287,35 @@
                 call.done(mayHaveRun(error_code::store_unavailable, "lost"));
                 continue;
             }
+            if (m_hasFaults && chance(2)) {
+                const bool isApplied = pick(2) == 0;
+                node.slowCalls.push_back({ m_now + std::chrono::milliseconds(pick(900)), call,
+                    isApplied ? std::optional(m_store.apply(call.write)) : std::nullopt });
+                continue;
+            }
             call.done(node.store->answer(m_store, call.write));
         }
+        serveSlowCalls(node);
         if (reachesStore(node) && (node.isTableRead ? m_hasFeed && chance(20) : chance(20)))
             readTable(node);
     }
 
+    void serveSlowCalls(simulated_node& node)
+    {
+        const auto isDue = [this](const slow_call& slow) { return slow.at <= m_now; };
+        std::vector<slow_call> due;
+        std::ranges::copy_if(node.slowCalls, std::back_inserter(due), isDue);
+        std::erase_if(node.slowCalls, isDue);
+        for (const auto& [at, call, outcome] : due) {
+            if (outcome)
+                call.done(node.store->receive(call.write, *outcome));
+            else if (reachesStore(node))
+                call.done(node.store->answer(m_store, call.write));
+            else
+                call.done(mayHaveRun(error_code::store_unavailable, "lost"));
+        }
+    }
+
     /// The store goes down and comes back from a copy that was made up to ten seconds before.
     void startRestore()
     {
@@ -417,7 +450,7 @@
     bool m_isStoreDown = false;
     bool m_hasFaults = true;
     bool m_movesKeys = true;
-    bool m_hasFeed = true;
+    bool m_hasFeed;
     bool m_pushesMaps;
     double m_restoresPerSecond = 0;
     bool m_restartsAll = false; ///< All nodes start anew when the store comes back.
--- a/src/mesh/tests/simulated_store.h
+++ b/src/mesh/tests/simulated_store.h
@@ -93,13 +93,19 @@
     }
     void onRestored(std::function<void(store_era)> hook) override { m_onRestored = std::move(hook); }
 
-    /// Applies a write and returns the answer as the node receives it.
+    /// Applies a write and returns the answer as the node receives it at once.
     result<write_outcome> answer(simulated_store& store, const conditional_write& write)
     {
-        auto outcome = store.apply(write);
-        noteEra(store.era());
+        return receive(write, store.apply(write));
+    }
+
+    /// The answer as the node receives it, possibly some time after the write was applied.
+    result<write_outcome> receive(const conditional_write& write, const write_outcome& outcome)
+    {
+        const auto era = eraOf(outcome.version);
+        noteEra(era);
         const bool isOfEarlierEra = std::ranges::any_of(
-            write.checks, [&](const auto& check) { return check.version > 0 && eraOf(check.version) < store.era(); });
+            write.checks, [&](const auto& check) { return check.version > 0 && eraOf(check.version) < era; });
         if (isOfEarlierEra)
             return mayHaveRun(error_code::store_restored, "the store came back from an older copy");
         return outcome;
