--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -1,63 +1,16 @@
 #include "mesh/internal/ownership.h"
 
 #include "base/hash.h"
+#include "mesh/internal/ownership_timing.h"
 #include "telemetry/log_event.h"
 
 #include <algorithm>
 
 namespace heatherdrift {
 
-namespace {
+using namespace ownership_timing;
 
-    /// Outlasts a restart of the node or two lost heartbeats. Keys of a lost owner are unavailable for this long.
-    constexpr auto leaseTime = std::chrono::milliseconds(3500);
-    constexpr auto confirmInterval = std::chrono::milliseconds(700);
-    /// Maximum age of a check whose result is passed on to other owners, which saves them a more expensive call to the
-    /// store.
-    constexpr auto maxSharedCheckAge = std::chrono::milliseconds(300);
-    /// Age of the last confirmation at which an owner checks the map itself: the owner that checks for all has missed
-    /// one response.
-    constexpr auto ownCheckAge = confirmInterval + maxSharedCheckAge + std::chrono::milliseconds(200);
-    /// Age at which an owner asks the others for promises, because the store has not responded either. The other owners
-    /// may need a second to detect the outage, and the next heartbeat has to arrive before the lease ends.
-    constexpr auto extensionAge = ownCheckAge + std::chrono::milliseconds(100);
-    constexpr auto extensionInterval = std::chrono::milliseconds(300);
-    /// Longer than the heartbeat interval and the interval between requests for promises.
-    constexpr auto promiseTime = std::chrono::milliseconds(1600);
-    constexpr auto maxExtension = std::chrono::milliseconds(8000); ///< Longer than most outages of the store.
-    /// A write of an earlier process may still take effect for this long; until then this process makes no promises.
-    constexpr auto lateWriteTime = std::chrono::milliseconds(8000);
-    /// A node that owns no keys reassigns keys without a live owner only if no owner has done so for this long.
-    constexpr auto nonOwnerTakeoverDelay = std::chrono::milliseconds(3000);
-    constexpr auto tickInterval = std::chrono::milliseconds(100);
-    constexpr auto writeTimeout = std::chrono::milliseconds(1500);
-    constexpr auto confirmTimeout = std::chrono::milliseconds(1000);
-    constexpr auto conflictBackoffStep = std::chrono::milliseconds(6); ///< About the round trip of a call to the store.
-    constexpr auto writeBackoff = std::chrono::milliseconds(200);
-    /// Margin for the clock drift between two machines during a lease and for the time to read the clocks.
-    constexpr double leaseSafety = 1.05;
-    /// Heartbeat intervals until all backend servers of a new system have announced themselves.
-    constexpr double heartbeatsBeforeFirstMap = 2.2;
-    /// Additional delay per position in the order of nodes before a node acts as coordinator.
-    constexpr auto coordinatorStep = std::chrono::milliseconds(600);
-    /// Lets a node that detected the lost owner earlier, or the owner's own node, act first.
-    constexpr auto orphanGracePeriod = std::chrono::milliseconds(300);
-    /// After a simultaneous start of all nodes, each backend server is announced within about this time.
-    constexpr auto startupGracePeriod = std::chrono::milliseconds(2500);
-    /// Owners that are not lost release keys within about this time.
-    constexpr auto usualReleaseTime = std::chrono::milliseconds(2500);
-    /// Requests wait for a grant that is due within this time; earlier ones get a Retry-After response.
-    constexpr auto maxGrantWait = std::chrono::milliseconds(600);
-    constexpr int maxBackoffDoublings = 3; ///< A release must not be delayed by much more than a second.
-    constexpr std::size_t maxEndedLives = 64; ///< Far more than can end while a map change is in progress.
-    constexpr std::size_t maxSeenAssignments = 4096;
-
-    /// Milliseconds, by the clock of another machine, after which the holds of an unresponsive owner have expired.
-    std::int64_t silenceAfter(duration hold)
-    {
-        return static_cast<std::int64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(hold).count() * leaseSafety);
-    }
+namespace {
 
     hold_terms termsOf(const mesh_settings& settings)
     {
@@ -73,6 +26,7 @@
     , m_row(std::move(mapRow))
     , m_hooks(std::move(hooks))
     , m_holdManager(termsOf(settings), m_hooks.now())
+    , m_eraNotedAt(m_hooks.now())
     , m_startedAt(m_hooks.now())
     , m_random(seededRandom(hashBytes(settings.node)))
     , m_tick(base, [this] { advance(); })
@@ -81,36 +35,28 @@
 
 void ownership::start() { m_tick.startRepeating(tickInterval); }
 
-void ownership::onRowChanged(const row_change& row)
-{
-    if (row.version <= m_version || !row.value)
-        return;
-    const auto map = range_map::fromJson(*row.value);
-    if (map.has_value())
-        adopt(map.value(), row.version, std::nullopt);
-    else
-        logEvent(log_event::peer_message_rejected, { { "target", m_row.key }, { "reason", map.error().message } });
-}
-
-void ownership::onTableRead() { m_isTableRead = true; }
-
 void ownership::adopt(const range_map& map, row_version version, std::optional<time_point> readAt)
 {
+    noteEra(eraOf(version));
     if (version < m_version)
         return;
     if (version != m_version)
         logMap(map, version, readAt.has_value());
+    const auto now = m_hooks.now();
+    if (eraOf(version) > eraOf(m_version)) {
+        const auto spread = std::max<duration>(minProofSpread, proofInterval * (otherOwners().size() + 1));
+        m_proofDueAt = now + std::chrono::duration_cast<duration>(spread * m_random());
+    }
     m_version = version;
     m_map = map;
-    const auto now = m_hooks.now();
     for (const auto& range : map.ranges())
         m_firstSeenAt.try_emplace(range.fence, now);
     if (m_firstSeenAt.size() > maxSeenAssignments)
         m_firstSeenAt.erase(m_firstSeenAt.begin());
-    if (readAt)
+    if (readAt && !isMapOutdated())
         m_holdManager.confirm(map, *readAt);
     else
-        m_holdManager.setMap(map);
+        m_holdManager.setMap(forHolds(map));
     m_hooks.onChanged();
 }
 
@@ -214,124 +160,17 @@
     propose();
 }
 
-void ownership::confirmIfDue(time_point now)
+void ownership::handleWriteFailure(const failure& reason, store_era era)
 {
-    const bool isOwner = !m_holdManager.life().empty() && m_map.hasOwner(m_holdManager.life());
-    if (!isOwner)
-        return;
-    // A write of this node that may still take effect would invalidate the promises of the others.
-    const auto age = now - m_holdManager.confirmedAt();
-    if (now >= m_extensionDueAt && m_unresolvedVersion != m_version && age > extensionAge) {
-        m_extensionDueAt = now + extensionInterval;
-        m_hooks.askOtherOwners();
+    // A write of an earlier era only changes a row that is no longer in use.
+    if (era == m_era) {
+        if (reason.outcome != verdict::not_run)
+            m_unresolvedVersion = m_version;
+        // A write whose response was lost may still take effect. The table watch then delivers it, and a later write
+        // conflicts with it.
+        m_mayWriteAt = m_hooks.now() + writeBackoff;
+        m_confirmDueAt = time_point::min();
     }
-    if (now < m_confirmDueAt)
-        return;
-    m_confirmDueAt = now + confirmInterval;
-    const bool isAsked = age < ownCheckAge && m_hooks.askConfirmingOwner();
-    if (!isAsked)
-        checkMap([](bool) {});
-}
-
-void ownership::checkMap(std::function<void(bool isCurrent)> done)
-{
-    m_awaitingCheck.push_back(std::move(done));
-    if (m_awaitingCheck.size() > 1)
-        return;
-    const auto now = m_hooks.now();
-    conditional_write check;
-    check.checks.push_back({ m_row, m_version });
-    m_store.write(check, now + confirmTimeout, [this, version = m_version, now](const result<write_outcome>& outcome) {
-        handleCheckResult(version, now, outcome);
-    });
-}
-
-void ownership::handleCheckResult(row_version version, time_point sentAt, const result<write_outcome>& outcome)
-{
-    const auto waiting = std::exchange(m_awaitingCheck, {});
-    m_storeAnswered = outcome.has_value();
-    const bool isApplied = outcome.has_value() && outcome.value().isApplied;
-    if (isApplied)
-        recordCheck(version, sentAt);
-    else if (outcome.has_value())
-        adoptCurrent(outcome.value(), sentAt);
-    const bool isCurrent = isApplied && version == m_version;
-    if (isCurrent)
-        m_holdManager.confirm(m_map, sentAt);
-    for (const auto& done : waiting)
-        done(isCurrent);
-    propose();
-}
-
-void ownership::recordCheck(row_version version, time_point at)
-{
-    m_checkedAt = version == m_checkedVersion ? std::max(m_checkedAt, at) : at;
-    m_checkedVersion = version;
-}
-
-std::vector<life_name> ownership::otherOwners() const
-{
-    std::set<life_name> lives;
-    for (const auto& range : m_map.ranges())
-        lives.insert(range.owner);
-    lives.erase(m_holdManager.life());
-    lives.erase(life_name());
-    return { lives.begin(), lives.end() };
-}
-
-void ownership::onConfirmed(time_point at) { m_holdManager.confirm(m_map, at); }
-
-void ownership::onPromised(time_point askedAt)
-{
-    m_holdManager.extend(askedAt);
-    m_hooks.onChanged();
-}
-
-std::optional<duration> ownership::recentlyChecked() const
-{
-    if (m_checkedAt == time_point::min() || m_checkedVersion != m_version)
-        return std::nullopt;
-    const auto age = m_hooks.now() - m_checkedAt;
-    return age <= maxSharedCheckAge ? std::optional<duration>(age) : std::nullopt;
-}
-
-void ownership::handleConfirmation(const life_name& holder, row_version version, statement_function done)
-{
-    const auto state = [this, version](map_statement ofSame) {
-        if (version == m_version)
-            return ofSame;
-        return version < m_version ? map_statement::outdated : map_statement::unknown;
-    };
-    if (const auto age = recentlyChecked(); age && version <= m_version)
-        return done(state(map_statement::current), age);
-    if (!m_storeAnswered)
-        return done(version == m_version ? promise(holder) : state(map_statement::unknown), {});
-    checkMap([this, holder, version, state, done = std::move(done)](bool) {
-        if (const auto age = recentlyChecked())
-            return done(state(map_statement::current), age);
-        const bool isPromise = version == m_version && !m_storeAnswered;
-        done(isPromise ? promise(holder) : state(map_statement::unknown), {});
-    });
-}
-
-map_statement ownership::promise(const life_name& holder)
-{
-    const auto now = m_hooks.now();
-    const bool isOwner = m_map.hasOwner(m_holdManager.life());
-    if (!isOwner || m_isWriting || m_unresolvedVersion == m_version || now < m_startedAt + lateWriteTime)
-        return map_statement::unknown;
-    m_promisedUntil[holder] = now + std::chrono::duration_cast<duration>(promiseTime * leaseSafety);
-    return map_statement::promised;
-}
-
-void ownership::handleWriteFailure(const failure& reason)
-{
-    if (reason.outcome != verdict::not_run)
-        m_unresolvedVersion = m_version;
-    // A write whose response was lost may still take effect. The table watch then delivers it, and a later write
-    // conflicts with it.
-    m_mayWriteAt = m_hooks.now() + writeBackoff;
-    m_confirmDueAt = time_point::min();
     logEvent(log_event::range_map_write_failed,
         { { "version", std::to_string(m_version) }, { "verdict", std::string(toString(reason.outcome)) },
             { "reason", reason.message } });
@@ -345,15 +184,19 @@
 range_map ownership::releaseAfterSilence(const range_map& map, time_point now) const
 {
     range_map out = map;
+    const bool isFirst = isFirstOwner();
     for (const auto& range : map.ranges()) {
-        if (range.owner != m_holdManager.life() || range.releasing.empty())
+        const bool isOwn = range.owner == m_holdManager.life();
+        if (range.releasing.empty() || !(isOwn || (isFirst && range.mayHaveUnknownHolder())))
             continue;
         const auto seen = m_firstSeenAt.find(range.fence);
         const auto silence = std::chrono::milliseconds(range.silenceMs);
         if (range.silenceMs == 0 || seen == m_firstSeenAt.end() || now - seen->second < silence)
             continue;
-        for (const auto& life : range.releasing)
-            out = out.release(life, range.keys, "");
+        for (const auto& life : range.releasing) {
+            if (isOwn || life == unknownHolder)
+                out = out.release(life, range.keys, "");
+        }
     }
     return out;
 }
@@ -378,12 +221,15 @@
     const auto rank = std::count_if(candidates.begin(), self,
         [&](const auto& candidate) { return m_version == 0 || !isOwner || m_map.hasOwner(candidate.range.life); });
     time_point due = m_orphanedSince + rank * coordinatorStep;
+    // After a restore of the store, as after a start, backend servers have to announce themselves first.
     if (m_version > 0)
-        due = std::max(due + (isOwner ? orphanGracePeriod : nonOwnerTakeoverDelay), m_startedAt + startupGracePeriod);
+        due = std::max(due + (isOwner ? orphanGracePeriod : nonOwnerTakeoverDelay), m_eraNotedAt + startupGracePeriod);
     else if (m_settings.isFirstStart)
         due = std::max(due,
             m_startedAt + std::chrono::duration_cast<duration>(m_settings.heartbeatInterval * heartbeatsBeforeFirstMap)
                 + rank * coordinatorStep);
+    else
+        due = std::max(due, m_eraNotedAt + startupGracePeriod);
     if (now < due)
         return map;
     std::vector<range_candidate> ranges;
@@ -394,7 +240,10 @@
             return map;
     }
     const auto silence = isOwner ? duration(leaseTime) : duration(leaseTime + maxExtension);
-    return assignUnowned(map, ranges, m_version + 1, silenceAfter(silence));
+    const auto assigned = assignUnowned(map, ranges, nextFence(), silenceAfter(silence));
+    return m_version == 0 && mayHaveLostMaps()
+        ? assigned.withUnknownHolder(nextFence(), silenceAfter(leaseTime + maxExtension))
+        : assigned;
 }
 
 range_map ownership::balance(const range_map& map, time_point now)
@@ -404,7 +253,7 @@
     const bool mayMove = !m_isDraining && m_storeAnswered && now >= m_startedAt + startupGracePeriod
         && m_map.hasOwner(m_holdManager.life())
         && std::ranges::none_of(m_promisedUntil, [&](const auto& entry) { return now < entry.second; });
-    return mayMove ? m_hooks.balance(map, m_version + 1, now) : map;
+    return mayMove ? m_hooks.balance(map, nextFence(), now) : map;
 }
 
 std::optional<range_map> ownership::nextMap(time_point now)
@@ -413,6 +262,8 @@
     // set only when it is large.
     if (m_endedLives.size() > maxEndedLives)
         std::erase_if(m_endedLives, [&](const auto& ended) { return !m_map.names(ended); });
+    if (isMapOutdated())
+        return firstMapOfEra(now);
     range_map next = m_map;
     const auto& life = m_holdManager.life();
     for (const auto& ended : m_endedLives) {
@@ -420,9 +271,11 @@
             continue;
         // Only a later life of the same backend server takes over its ranges unchanged.
         const bool hasSuccessor = !life.empty() && life != ended && !m_isDraining && ended == m_previousLife;
-        next = next.replace(ended, hasSuccessor ? life : life_name(), m_version + 1);
+        next = next.replace(ended, hasSuccessor ? life : life_name(), nextFence());
     }
     if (!life.empty()) {
+        if (m_isDraining || now >= m_proofDueAt)
+            next = m_holdManager.releaseProven(next);
         next = m_holdManager.releaseUnheld(next, now);
         next = releaseAfterSilence(next, now);
     }
@@ -430,7 +283,7 @@
         std::vector<range_candidate> others;
         for (const auto& candidate : m_hooks.candidates())
             others.push_back(candidate.range);
-        next = assignFrom(next, life, others, m_version + 1);
+        next = assignFrom(next, life, others, nextFence());
     }
     next = coordinate(next, now);
     next = balance(next, now);
@@ -450,17 +303,27 @@
         return;
     m_isWriting = true;
     conditional_write change;
-    change.checks.push_back({ m_row, m_version });
-    change.changes.push_back({ m_row, 0, next->toJson() });
-    m_store.write(std::move(change), now + writeTimeout,
-        [this, map = *next, now](result<write_outcome> outcome) { handleWriteResult(map, now, std::move(outcome)); });
+    change.checks.push_back({ currentRow(), expectedVersion() });
+    change.changes.push_back({ currentRow(), 0, next->toJson() });
+    if (expectedVersion() == 0) {
+        for (const auto& row : m_earlierRows)
+            change.changes.push_back({ row, 0, std::nullopt });
+    }
+    m_store.write(
+        std::move(change), now + writeTimeout, [this, map = *next, era = m_era, now](result<write_outcome> outcome) {
+            handleWriteResult(map, era, now, std::move(outcome));
+        });
 }
 
-void ownership::handleWriteResult(const range_map& proposed, time_point sentAt, result<write_outcome> outcome)
+void ownership::handleWriteResult(
+    const range_map& proposed, store_era era, time_point sentAt, result<write_outcome> outcome)
 {
     m_isWriting = false;
     if (outcome.has_error())
-        return handleWriteFailure(outcome.error());
+        return handleWriteFailure(outcome.error(), era);
+    if (eraOf(outcome.value().version) > era)
+        return handleWriteFailure(
+            mayHaveRun(error_code::store_restored, "the row of an earlier era of the store was written"), era);
     if (!outcome.value().isApplied) {
         adoptCurrent(outcome.value(), sentAt);
         backOff();
@@ -478,7 +341,7 @@
 void ownership::adoptCurrent(const write_outcome& outcome, time_point sentAt)
 {
     for (const auto& row : outcome.current) {
-        if (row.key != m_row || !row.value)
+        if (row.key != currentRow() || eraOf(row.version) != m_era || !row.value)
             continue;
         const auto map = range_map::fromJson(*row.value);
         if (map.has_error()) {
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -45,15 +45,53 @@
 {
     // A previous process may have granted holds to the first incarnation seen by this process, but to no later one.
     if (!m_life.empty())
-        m_holdEnd = time_point::min();
+        m_holdEnd = m_serveEnd = time_point::min();
     m_life = life;
     m_granted.clear();
     m_previouslyGranted.clear();
+    m_heldAtEraStart.clear();
     m_reported.clear();
     m_released.clear();
     m_reportCount = 0;
 }
 
+void hold_manager::startEra(time_point now)
+{
+    m_heldAtEraStart.clear();
+    if (now >= m_serveEnd)
+        return;
+    for (const auto& range : m_granted)
+        m_heldAtEraStart.push_back(range.keys);
+}
+
+void hold_manager::invalidateGrants()
+{
+    m_granted.clear();
+    m_heldAtEraStart.clear();
+}
+
+std::vector<key_range> hold_manager::provenKeys(const owned_range& range) const
+{
+    std::vector<key_range> keys;
+    if (range.owner != m_life || !range.mayHaveUnknownHolder())
+        return keys;
+    for (const auto& held : m_heldAtEraStart) {
+        if (held.intersects(range.keys))
+            keys.push_back(intersection(held, range.keys));
+    }
+    return keys;
+}
+
+range_map hold_manager::releaseProven(const range_map& map) const
+{
+    range_map out = map;
+    for (const auto& range : map.ranges()) {
+        for (const auto& keys : provenKeys(range))
+            out = out.releaseAll(keys);
+    }
+    return out;
+}
+
 void hold_manager::extend(time_point at) { m_promisedUntil = std::max(m_promisedUntil, at + m_terms.promise); }
 
 time_point hold_manager::latestHoldEnd() const
@@ -98,14 +136,17 @@
         return {};
     grant.isValid = true;
     for (const auto& range : m_map.ranges()) {
-        if (range.owner != m_life || !range.releasing.empty())
-            continue;
-        grant.ranges.push_back({ range.keys, range.fence, range.handover });
-        // Granted keys are held again, so earlier releases of them are void.
-        std::erase_if(m_released, [&](const auto& released) { return released.keys.intersects(range.keys); });
+        if (range.owner == m_life && range.releasing.empty())
+            grant.ranges.push_back({ range.keys, range.fence, range.handover });
+        for (const auto& keys : provenKeys(range))
+            grant.ranges.push_back({ keys, range.fence, range.handover });
     }
+    // Granted keys are held again, so earlier releases of them are void.
+    std::erase_if(m_released, [&](const auto& released) { return anyIntersects(grant.ranges, released.keys); });
     m_previouslyGranted = std::exchange(m_granted, grant.ranges);
-    m_holdEnd = std::max(m_holdEnd, receivedAt + grant.hold);
+    m_serveEnd = std::max(m_serveEnd, receivedAt + grant.hold);
+    const auto bySlowClock = std::chrono::ceil<duration>(grant.hold / (1 - m_terms.clockDrift));
+    m_holdEnd = std::max(m_holdEnd, receivedAt + bySlowClock);
     return grant;
 }
 
@@ -142,7 +183,7 @@
 
 bool hold_manager::mayServe(key_number key, time_point now) const
 {
-    if (now + serveMargin >= m_holdEnd)
+    if (now + serveMargin >= m_serveEnd)
         return false;
     return std::ranges::any_of(m_granted, [&](const auto& range) { return range.keys.contains(key); });
 }
