Take an answer without an id only as the first of its connection

Callers saw: "not run, try again" for requests that a backend server had run or was running, and requests that ran at a second backend server. Another operator reported it for a backend server that writes an earlier refusal once more on a kept connection.

Cause: the gate dropped answers with the id of another request, but took every answer without an id for that of the request it had just sent. A repeated refusal without an id proved "not run" for the next request. The same happened with an id: a request for a key that the backend server refused is sent again to the same owner, mostly on the same connection, and the second copy of the first refusal bears its id. A success without an id was passed on likewise.

Why it works: a connection carries each id at most once, and a request without an id gets a new connection, so an answer with the present id cannot be an older one. An answer without an id counts only on a connection that has carried no other request and on which no answer was dropped; otherwise the connection is closed and the request may have run. A refusal without an id on a new connection still proves that the request was not run.

--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -11,10 +11,21 @@
 
 namespace heatherdrift {
 
+/// Request that an answer names as the one it belongs to.
+enum class answer_origin { this_request, other_request, unstated };
+
+/// How answers are matched to a request on a connection that carries several. An answer of another request is dropped,
+/// and the next one is awaited. One that names no request is accepted only as the first of its connection; otherwise it
+/// may be a repeated answer of an earlier request, and the connection is lost.
+struct answer_matching {
+    std::function<answer_origin(const http_response_head&)> originOf; ///< Without it every answer is this request's.
+    /// Id that the answer repeats. No connection carries an id twice; a request without an id gets a new connection.
+    std::string requestId;
+};
+
 /// Receives the parts of one answer, on the event loop's thread, never before http_client::start() returns.
 struct http_call_handlers {
-    /// Whether an answer belongs to another request of the connection. It is dropped, and the next one is awaited.
-    std::function<bool(const http_response_head&)> isForeign;
+    answer_matching matching;
     std::function<void(const http_response_head&)> onHead; ///< Without hop-by-hop headers.
     std::function<void(std::string_view)> onData;
     /// Called exactly once unless the call is cancelled. Success: the answer is whole. Failure: `not_run` if no byte of
@@ -76,8 +87,8 @@
 http_call_ptr fetch(
     http_client&, http_request, time_point deadline, std::size_t bodyLimit, std::function<void(result<http_response>)>);
 
-/// The same, dropping answers that belong to another request.
-http_call_ptr fetchOwn(http_client&, http_request, time_point deadline, std::size_t bodyLimit,
-    std::function<bool(const http_response_head&)> isForeign, std::function<void(result<http_response>)>);
+/// The same, for a server whose answers name their requests.
+http_call_ptr fetchOwn(http_client&, http_request, time_point deadline, std::size_t bodyLimit, answer_matching,
+    std::function<void(result<http_response>)>);
 
 } // namespace heatherdrift
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/client_connection.h"
 
+#include "base/hash.h"
+
 #include <cerrno>
 #include <charconv>
 #include <event2/util.h>
@@ -12,6 +14,7 @@
     constexpr std::size_t headerLimitBytes = 64 * 1024;
     /// Part of a server's keep-alive time for which a connection is used again; the rest covers the way of a request.
     constexpr double keepAliveShare = 0.8;
+    constexpr std::size_t maxRequests = 4096; ///< Per connection; bounds the memory for their ids.
 
     std::string requestHead(const http_request& request, const std::string& peerName)
     {
@@ -107,6 +110,9 @@
     m_isBusy = true;
     m_hasWritten = false;
     m_isInterim = false;
+    m_failure = connection_end::lost;
+    m_hasOtherAnswers = !m_carriedIds.empty();
+    m_carriedIds.insert(hashBytes(m_handlers.matching.requestId));
     if (request.method == "HEAD")
         m_parser.expectNoBody();
     const std::string head = requestHead(request, m_peerName);
@@ -120,7 +126,14 @@
 bool client_connection::isReusable(time_point now) const
 {
     return m_stream && !m_isBusy && !m_isDirty && m_keepsAlive && now < m_usableUntil
-        && evbuffer_get_length(bufferevent_get_output(m_stream.get())) == 0;
+        && m_carriedIds.size() < maxRequests && evbuffer_get_length(bufferevent_get_output(m_stream.get())) == 0;
+}
+
+bool client_connection::canMatch(const answer_matching& matching) const
+{
+    if (!matching.originOf)
+        return true;
+    return !matching.requestId.empty() && !m_carriedIds.contains(hashBytes(matching.requestId));
 }
 
 void client_connection::halt()
@@ -159,7 +172,7 @@
         const std::size_t taken = m_parser.parse(piece);
         evbuffer_drain(input, taken);
         if (m_parser.hasFailed())
-            return end(connection_end::lost);
+            return end(m_failure);
         if (taken == 0 && m_isBusy)
             m_parser.proceed();
     }
@@ -176,7 +189,8 @@
 bool client_connection::acceptHead()
 {
     http_response_head head { m_parser.status(), withoutHopByHop(m_parser.headers()) };
-    m_isInterim = m_parser.status() / 100 == 1 || (m_handlers.isForeign && m_handlers.isForeign(head));
+    if (!acceptOrigin(head))
+        return false;
     if (m_isInterim)
         return !m_parser.isUnframed();
     if (m_parser.isUnframed() && !m_acceptsUnframed)
@@ -188,6 +202,20 @@
     return true;
 }
 
+bool client_connection::acceptOrigin(const http_response_head& head)
+{
+    m_isInterim = m_parser.status() / 100 == 1;
+    if (m_isInterim || !m_handlers.matching.originOf)
+        return true;
+    const auto origin = m_handlers.matching.originOf(head);
+    if (origin == answer_origin::other_request)
+        m_isInterim = m_hasOtherAnswers = true;
+    if (origin != answer_origin::unstated || !m_hasOtherAnswers)
+        return true;
+    m_failure = connection_end::unmatched;
+    return false;
+}
+
 bool client_connection::acceptEnd()
 {
     if (std::exchange(m_isInterim, false))
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -5,6 +5,8 @@
 #include "http/internal/message_parser.h"
 #include "http/internal/stream.h"
 
+#include <unordered_set>
+
 namespace heatherdrift {
 
 /// How a connection's answer ended.
@@ -13,6 +15,7 @@
     refused, ///< Nothing listens at the server's address.
     silent, ///< The server's machine acknowledged nothing for the time limit.
     lost, ///< Closed, reset, or not an answer in the protocol.
+    unmatched, ///< An answer arrived that names no request and may belong to an earlier one.
 };
 
 /// One connection to a server, which carries one request at a time.
@@ -21,7 +24,7 @@
     struct handlers {
         std::function<void(const http_response_head&)> onHead;
         std::function<void(std::string_view)> onData;
-        std::function<bool(const http_response_head&)> isForeign;
+        answer_matching matching;
         /// The answer is whole, or the connection failed.
         std::function<void(connection_end)> onEnd;
     };
@@ -39,6 +42,8 @@
     void watchIdle(std::function<void()> onLost);
     /// Whether the next request may use the connection.
     bool isReusable(time_point now) const;
+    /// Whether an answer that is read from now on can be matched to the request.
+    bool canMatch(const answer_matching&) const;
     void setReading(bool);
     /// Nothing is written or reported from now on.
     void halt();
@@ -53,6 +58,7 @@
 
     void read();
     bool acceptHead();
+    bool acceptOrigin(const http_response_head&);
     bool acceptEnd();
     void end(connection_end);
     void learnKeepAlive(const http_headers&);
@@ -70,6 +76,9 @@
     bool m_hasWritten = false;
     bool m_keepsAlive = true;
     bool m_isInterim = false; ///< The current answer is a 1xx one or belongs to another request.
+    bool m_hasOtherAnswers = false; ///< Earlier requests were sent, or answers of others were dropped.
+    connection_end m_failure = connection_end::lost; ///< Reported if the parser fails.
+    std::unordered_set<std::uint64_t> m_carriedIds; ///< Hashes of the ids of all requests sent.
     bool m_isDirty = false; ///< Bytes arrived that belong to no request.
 };
 
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -3,6 +3,7 @@
 #include "base/event_handle.h"
 #include "http/internal/client_connection.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace heatherdrift {
@@ -40,6 +41,7 @@
             if (m_connection)
                 m_connection->setReading(true);
         }
+        const answer_matching& matching() const { return m_handlers.matching; }
         bool hasWritten() const override { return m_hasWritten || (m_connection && m_connection->hasWritten()); }
 
         /// The client is being destroyed; the call ends without calling a handler.
@@ -63,6 +65,8 @@
                 return notRun(error_code::connection_refused, "nothing listens at " + m_server);
             if (!hasWritten())
                 return notRun(error_code::connection_failed, "cannot connect to " + m_server);
+            if (how == connection_end::unmatched)
+                return mayHaveRun(error_code::connection_lost, "an answer of " + m_server + " names no request");
             return mayHaveRun(error_code::connection_lost, "the connection to " + m_server + " was lost");
         }
 
@@ -128,7 +132,7 @@
         {
             auto call = std::make_shared<pooled_call>(*this, m_base, std::move(handlers));
             m_active.push_back(call);
-            auto connection = takeConnection();
+            auto connection = takeConnection(call->matching());
             if (connection)
                 call->send(std::move(connection), request, deadline);
             else
@@ -159,14 +163,20 @@
 
     private:
         /// The most recently used connection is the least likely to be closed by the server at this moment.
-        std::unique_ptr<client_connection> takeConnection()
+        std::unique_ptr<client_connection> takeConnection(const answer_matching& matching)
         {
             dropUnusable();
-            if (!m_idle.empty()) {
-                auto connection = std::move(m_idle.back());
-                m_idle.pop_back();
+            const auto found = std::ranges::find_if(
+                m_idle.rbegin(), m_idle.rend(), [&](const auto& idle) { return idle->canMatch(matching); });
+            if (found != m_idle.rend()) {
+                auto connection = std::move(*found);
+                m_idle.erase(std::prev(found.base()));
                 return connection;
             }
+            if (m_connectionCount >= m_options.maximumConnections && !m_idle.empty()) {
+                m_idle.erase(m_idle.begin());
+                --m_connectionCount;
+            }
             if (m_connectionCount >= m_options.maximumConnections)
                 return nullptr;
             auto connection = std::make_unique<client_connection>(m_base, m_server, m_options);
@@ -209,10 +219,7 @@
                     if (m_handlers.onData && !m_isEnding)
                         m_handlers.onData(data);
                 },
-                [this](const http_response_head& head) {
-                    return m_handlers.isForeign && !m_isEnding && m_handlers.isForeign(head);
-                },
-                [this](connection_end how) { ended(how); } });
+                m_handlers.matching, [this](connection_end how) { ended(how); } });
     }
 
     void pooled_call::finishDeferred()
@@ -246,11 +253,11 @@
 http_call_ptr fetch(http_client& client, http_request request, time_point deadline, std::size_t bodyLimit,
     std::function<void(result<http_response>)> done)
 {
-    return fetchOwn(client, std::move(request), deadline, bodyLimit, nullptr, std::move(done));
+    return fetchOwn(client, std::move(request), deadline, bodyLimit, {}, std::move(done));
 }
 
 http_call_ptr fetchOwn(http_client& client, http_request request, time_point deadline, std::size_t bodyLimit,
-    std::function<bool(const http_response_head&)> isForeign, std::function<void(result<http_response>)> done)
+    answer_matching matching, std::function<void(result<http_response>)> done)
 {
     struct fetch_state {
         http_response response;
@@ -260,7 +267,7 @@
     auto state = std::make_shared<fetch_state>();
     state->done = std::move(done);
     http_call_handlers handlers;
-    handlers.isForeign = std::move(isForeign);
+    handlers.matching = std::move(matching);
     handlers.onHead = [state](const http_response_head& head) { state->response.head = head; };
     handlers.onData = [state, bodyLimit](std::string_view data) {
         if (state->response.body.size() + data.size() <= bodyLimit) {
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -157,11 +157,17 @@
     http_request message = entry.request.message;
     m_port.addBackendHeaders(
         message.headers, { m_backend.id, entry.request.callerService, entry.request.deadline - now });
-    const auto isForeign = [this, requestId = entry.request.id](const http_response_head& head) {
+    const auto originOf = [this, requestId = entry.request.id](const http_response_head& head) {
         const auto answeredId = m_port.decodeAnswer(head).requestId;
-        return !answeredId.empty() && answeredId != requestId;
+        if (answeredId.empty())
+            return answer_origin::unstated;
+        if (answeredId == requestId)
+            return answer_origin::this_request;
+        logEvent(log_event::foreign_answer_dropped, { { "request", requestId }, { "answer_of", answeredId } });
+        return answer_origin::other_request;
     };
-    entry.call = fetchOwn(*m_client, std::move(message), entry.request.deadline, answerLimitBytes, isForeign,
+    entry.call = fetchOwn(*m_client, std::move(message), entry.request.deadline, answerLimitBytes,
+        { originOf, entry.request.id },
         [this, id](result<http_response> response) { handleResponse(id, std::move(response)); });
 }
 
@@ -171,6 +177,7 @@
     if (found == m_requests.end())
         return;
     const auto now = boot_clock::now();
+    const std::string detail = response.has_error() ? response.error().message : "";
     auto classified = classify(std::move(response));
     const bool isUsual = classified.outcome == verdict::ran && isSuccess(classified.response.head.status);
     m_queue.finish(id, isUsual ? std::optional(now - found->second.startedAt) : std::nullopt);
@@ -178,7 +185,7 @@
     if (classified.outcome == verdict::may_have_run) {
         logEvent(log_event::request_lost,
             { { "request", found->second.request.id }, { "reason", std::string(toString(classified.reason)) },
-                { "backend_server", m_backend.id }, { "route", found->second.request.route },
+                { "detail", detail }, { "backend_server", m_backend.id }, { "route", found->second.request.route },
                 { "ran_ms",
                     std::to_string(
                         std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.startedAt).count()) },
