Take no answer that arrives before the request is written

Callers could see: "not run" for a request that ran.

Cause: bytes that arrived between the start of a call and the writing of its request were parsed as its answer. The call ended, and the request, still in the output buffer, was written in the same turn of the event loop or the next one. A server that refuses connections by an answer of its own as soon as it accepts them, or that repeats an answer at that moment, is enough.

Evidence: KeptConnectionTest.BytesBeforeTheRequestAreNoAnswerAndItIsNotWritten on the unfixed code: the call ends with the early bytes as its answer instead of an error.

Why it works: while nothing of the request is written, incoming bytes end the connection. The connection is halted before the verdict, so that the request is not written later, and the call fails as not_run, which allows another try.

--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -167,6 +167,9 @@
 void client_connection::read()
 {
     auto* input = bufferevent_get_input(m_stream.get());
+    // Bytes that came before the request are not its answer, and the request must not be written after them.
+    if (m_isBusy && !m_hasWritten)
+        return end(connection_end::lost);
     while (m_isBusy && evbuffer_get_length(input) > 0) {
         const auto piece = firstPiece(input);
         const std::size_t taken = m_parser.parse(piece);
--- /dev/null
+++ b/src/http/tests/kept_connection_test.cpp
@@ -0,0 +1,103 @@
+#include "http/tests/raw_peers.h"
+#include "http/tests/test_loop.h"
+
+#include <poll.h>
+
+namespace heatherdrift {
+namespace {
+
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    const std::string success = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    /// A client of a server that the test plays with blocking calls, so that bytes wait in the kernel before the event
+    /// loop runs.
+    class KeptConnectionTest : public testing::Test {
+    protected:
+        void SetUp() override
+        {
+            http_client_options options;
+            options.maximumConnections = 2;
+            client = http_client::create(loop.base(), listener.address(), options);
+        }
+        void TearDown() override
+        {
+            for (const int peer : peers)
+                ::close(peer);
+        }
+
+        void start()
+        {
+            answer.reset();
+            fetch(*client, { "POST", "/", {}, "x" }, test_loop::farDeadline(), 1 << 20,
+                [this](result<http_response> value) { answer = std::move(value); });
+        }
+        void runUntilAnswered()
+        {
+            loop.runUntil([this] { return answer.has_value(); });
+        }
+
+        /// Accepts a connection that the client has begun; -1 if it has begun none.
+        int acceptPeer()
+        {
+            pollfd waiting { listener.descriptor(), POLLIN, 0 };
+            if (poll(&waiting, 1, 0) != 1)
+                return -1;
+            peers.push_back(accept(listener.descriptor(), nullptr, nullptr));
+            return peers.back();
+        }
+        static void write(int peer, const std::string& bytes)
+        {
+            EXPECT_EQ(::send(peer, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+        }
+        /// Runs the loop until a request has arrived, and takes it.
+        void takeRequest(int peer)
+        {
+            std::string seen;
+            while (!seen.ends_with("\r\n\r\nx")) {
+                loop.runReady();
+                seen += readArrived(peer);
+            }
+        }
+        static std::string readArrived(int peer)
+        {
+            char buffer[4096];
+            const auto size = ::recv(peer, buffer, sizeof(buffer), MSG_DONTWAIT);
+            return size > 0 ? std::string(buffer, static_cast<std::size_t>(size)) : "";
+        }
+        /// Carries one request, so that the connection is kept.
+        int keepConnection()
+        {
+            start();
+            const int peer = acceptPeer();
+            takeRequest(peer);
+            write(peer, success);
+            runUntilAnswered();
+            EXPECT_TRUE(answer->has_value());
+            EXPECT_EQ(client->idleCount(), 1);
+            return peer;
+        }
+
+        test_loop loop;
+        plain_listener listener { 4 };
+        std::unique_ptr<http_client> client;
+        std::optional<result<http_response>> answer;
+        std::vector<int> peers;
+    };
+
+    // Guards against `not_run` for a request that is written after bytes that came before it were taken for its answer.
+    TEST_F(KeptConnectionTest, BytesBeforeTheRequestAreNoAnswerAndItIsNotWritten)
+    {
+        start();
+        const int peer = acceptPeer();
+        write(peer, refusal);
+        runUntilAnswered();
+        for (int i = 0; i < 20; ++i)
+            loop.runReady();
+        ASSERT_TRUE(answer->has_error());
+        EXPECT_EQ(toString(answer->error().outcome), toString(verdict::not_run));
+        EXPECT_EQ(readArrived(peer), "");
+        EXPECT_EQ(client->connectionCount(), 0);
+    }
+
+} // namespace
+} // namespace heatherdrift
