Use no kept connection that has unread input

Callers saw: nothing in a report; found while reading for repeated refusals. A request on a kept connection could get an answer that had arrived before it, or be lost on a connection that the server had already closed.

Cause: the event loop tells of bytes and of a close only in its next turn, and it writes before it reads. A repeated answer or a close that waits in the kernel when the next request is started was met only after the request was written.

Evidence: on the unfixed code no second connection is opened in KeptConnectionTest.ConnectionWithUnreadBytesIsNotUsedAgain and KeptConnectionTest.ConnectionWithAnUnreadCloseIsNotUsedAgain; the request goes to the first one.

Why it works: before a kept connection is used again, the kernel is asked for unread input (one call per request); with any, the connection is closed and another one is used. Bytes that come later than that remain a matter of the ids.

The cost of the call was not measured.

--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -136,6 +136,13 @@
     return !matching.requestId.empty() && !m_carriedIds.contains(hashBytes(matching.requestId));
 }
 
+bool client_connection::hasUnreadInput() const
+{
+    char byte = 0;
+    const auto size = recv(bufferevent_getfd(m_stream.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void client_connection::halt()
 {
     m_connectTimer.stop();
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -44,6 +44,8 @@
     bool isReusable(time_point now) const;
     /// Whether an answer that is read from now on can be matched to the request.
     bool canMatch(const answer_matching&) const;
+    /// Whether bytes of an idle connection, or its close, have arrived and were not read.
+    bool hasUnreadInput() const;
     void setReading(bool);
     /// Nothing is written or reported from now on.
     void halt();
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -3,7 +3,6 @@
 #include "base/event_handle.h"
 #include "http/internal/client_connection.h"
 
-#include <algorithm>
 #include <vector>
 
 namespace heatherdrift {
@@ -166,13 +165,8 @@
         std::unique_ptr<client_connection> takeConnection(const answer_matching& matching)
         {
             dropUnusable();
-            const auto found = std::ranges::find_if(
-                m_idle.rbegin(), m_idle.rend(), [&](const auto& idle) { return idle->canMatch(matching); });
-            if (found != m_idle.rend()) {
-                auto connection = std::move(*found);
-                m_idle.erase(std::prev(found.base()));
+            if (auto connection = takeIdle(matching))
                 return connection;
-            }
             if (m_connectionCount >= m_options.maximumConnections && !m_idle.empty()) {
                 m_idle.erase(m_idle.begin());
                 --m_connectionCount;
@@ -185,6 +179,20 @@
             return connection;
         }
 
+        std::unique_ptr<client_connection> takeIdle(const answer_matching& matching)
+        {
+            for (auto next = m_idle.size(); next-- > 0;) {
+                if (!m_idle[next]->canMatch(matching))
+                    continue;
+                auto connection = std::move(m_idle[next]);
+                m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(next));
+                if (!connection->hasUnreadInput())
+                    return connection;
+                --m_connectionCount;
+            }
+            return nullptr;
+        }
+
         void dropUnusable()
         {
             const auto now = boot_clock::now();
--- a/src/http/tests/kept_connection_test.cpp
+++ b/src/http/tests/kept_connection_test.cpp
@@ -99,5 +99,36 @@
         EXPECT_EQ(client->connectionCount(), 0);
     }
 
+    // Guards against a late repeated answer that is taken for the next request's, because it waits unread in the kernel
+    // when that request is written.
+    TEST_F(KeptConnectionTest, ConnectionWithUnreadBytesIsNotUsedAgain)
+    {
+        const int first = keepConnection();
+        write(first, refusal);
+        start();
+        const int second = acceptPeer();
+        ASSERT_GE(second, 0);
+        takeRequest(second);
+        write(second, success);
+        runUntilAnswered();
+        ASSERT_TRUE(answer->has_value());
+        EXPECT_EQ(answer->value().head.status, 200);
+        EXPECT_EQ(readArrived(first), "");
+    }
+
+    // Guards against `may_have_run` for a request that is written to a connection of which the close waits unread in
+    // the kernel.
+    TEST_F(KeptConnectionTest, ConnectionWithAnUnreadCloseIsNotUsedAgain)
+    {
+        ::shutdown(keepConnection(), SHUT_WR);
+        start();
+        const int second = acceptPeer();
+        ASSERT_GE(second, 0);
+        takeRequest(second);
+        write(second, success);
+        runUntilAnswered();
+        EXPECT_TRUE(answer->has_value());
+    }
+
 } // namespace
 } // namespace heatherdrift
