Take a refusal without an id for proof only on a new connection

Callers of heatherdriftd could see: not_run for a call that ran.

Cause: an answer with the verdict not_run and without heatherdrift-request-id was taken for the refusal of the call that was waiting on the connection, also if it was an earlier refusal written once more.

Evidence: RequestPathTest.RefusalWithoutAnIdIsNoProofOnAKeptConnection on the unfixed code: not_run instead of may_have_run, and 9 requests at the backend server instead of 2, since the call was sent again until its deadline.

Why it works: the HTTP client accepts such a refusal only as the first answer of its connection and closes the connection otherwise; the call may have run. Other answers may still come without an id, as before.

RequestPathTest.FaultsOfTheBackendServer: the refusal of its case "says that it did not run it" bears the id of the call. Without one it is no proof any more; that case is the new test, so no outcome is left unchecked.

--- a/src/routing/internal/executed_call.cpp
+++ b/src/routing/internal/executed_call.cpp
@@ -51,6 +51,14 @@
         return echoed && *echoed != of.requestId;
     }
 
+    /// Only a refusal has to name its call: a backend server may leave the id out of other answers, and one with the id
+    /// of another call ends the call in onHead().
+    answer_origin originOf(const http_response_head& head)
+    {
+        const bool isUnstated = statesNotRun(head) && !head.headers.find(header::requestId);
+        return isUnstated ? answer_origin::unstated : answer_origin::this_request;
+    }
+
 } // namespace
 
 request_fingerprint fingerprintOf(const call& source)
@@ -242,6 +250,7 @@
         m_executor->m_once.setStarted(*m_token);
     m_startedAt = now();
     http_call_handlers handlers;
+    handlers.matching = { originOf, m_call.requestId };
     handlers.onHead = [this](const http_response_head& head) { onHead(head); };
     handlers.onData = [this](std::string_view data) { onData(data); };
     handlers.onDone = [this](const result<void>& how) { onDone(how); };
--- a/src/routing/tests/request_path_test.cpp
+++ b/src/routing/tests/request_path_test.cpp
@@ -67,6 +67,12 @@
         EXPECT_EQ(verdictOf(wait(waiting)), "ran");
     }
 
+    http_response refusalOf(const http_request& request)
+    {
+        const auto id = std::string(request.headers.find(header::requestId).value_or(""));
+        return { { 409, { { header::verdict, "not_run" }, { header::requestId, id } } }, "" };
+    }
+
     struct backend_fault {
         const char* name;
         std::function<void(http_exchange_ptr)> answer;
@@ -82,10 +88,8 @@
             { "closes without an answer", [](http_exchange_ptr exchange) { exchange->abort(); }, "may_have_run",
                 "connection_lost" },
             { "says that it did not run it",
-                [](http_exchange_ptr exchange) {
-                    exchange->respond({ { 409, { { header::verdict, "not_run" } } }, "" });
-                },
-                "not_run", "deadline_exceeded" },
+                [](http_exchange_ptr exchange) { exchange->respond(refusalOf(exchange->request())); }, "not_run",
+                "deadline_exceeded" },
             { "answers for another request",
                 [](http_exchange_ptr exchange) {
                     exchange->respond({ { 200, { { header::requestId, "other" } } }, "x" });
@@ -108,6 +112,21 @@
         }
     }
 
+    // Guards against `not_run` for a call that runs: the backend server writes the refusal of an earlier call once more
+    // on a kept connection, where the answer is expected.
+    TEST_F(RequestPathTest, RefusalWithoutAnIdIsNoProofOnAKeptConnection)
+    {
+        const auto issuedToken = token("a");
+        EXPECT_EQ(verdictOf(request("a", "lookup")), "ran");
+        backends["b"].answer = [](http_exchange_ptr exchange) {
+            exchange->respond({ { 409, { { header::verdict, "not_run" } } }, "" });
+        };
+        const auto answer = request("a", "once", { { header::token, issuedToken } });
+        EXPECT_EQ(verdictOf(answer), "may_have_run");
+        EXPECT_EQ(errorOf(answer), "connection_lost");
+        EXPECT_EQ(backends["b"].requests, 2);
+    }
+
     TEST_F(RequestPathTest, IdempotentCallIsSentAgainAfterALostAnswer)
     {
         backends["b"].answer = [&](http_exchange_ptr exchange) {
--- a/src/standin/internal/backend_server.cpp
+++ b/src/standin/internal/backend_server.cpp
@@ -170,11 +170,11 @@
             if (!job->exchange->isOpen())
                 return;
             if (m_faults.isDraining)
-                return job->exchange->respond(refusal(503, "draining"));
+                return refuse(job, 503, "draining");
             if (const auto reason = refuseGrant(*job))
-                return job->exchange->respond(refusal(409, *reason));
+                return refuse(job, 409, *reason);
             if (m_runningCount >= m_settings.slots && m_queue.size() >= m_settings.queueBound)
-                return job->exchange->respond(refusal(503, "overloaded"));
+                return refuse(job, 503, "overloaded");
             m_jobs.insert(job);
             m_queue.push_back(job);
             job->exchange->onClosed([this, weak = std::weak_ptr(job)] {
@@ -223,7 +223,9 @@
         {
             m_jobs.erase(job);
             job->exchange->onClosed(nullptr);
-            job->exchange->respond(refusal(status, reason));
+            auto response = refusal(status, reason);
+            response.head.headers.add("heatherdrift-request-id", job->request.id);
+            job->exchange->respond(std::move(response));
         }
 
         void crash()
