Await the refusal of the owner's node after the deadline

Callers of heatherdriftd saw: may_have_run with deadline_exceeded for a once call that its owner's node had refused.

Cause: the entry node and the owner's node have the same deadline. The last attempt before it is often still on its way when the entry node gives up, and the owner's refusal, sent at the deadline at the latest, comes too late. A slow event loop makes the way longer; any machine meets it if the last attempt begins shortly before the deadline. The test expected that no attempt was under way at the deadline, which it did not control.

The order is forced in RequestPathTest.RefusalByTheOwnersNodeCountsAfterTheDeadline: the backend server refuses after the entry node's deadline; on the unfixed code the caller gets may_have_run.

A call whose deadline passes between two attempts ends with deadline_exceeded, whether the refusal came shortly before or after it. A caller of a silent owner's node is told up to 100 ms later.

In the test the owner's clock is ahead by an hour and the entry's slack is a minute, so that each attempt ends by the answer of the backend server. Its cases and expectations are the same.

--- a/src/routing/entry_router.h
+++ b/src/routing/entry_router.h
@@ -24,6 +24,8 @@
     int connectionsPerPeer = 256;
     duration initialBackoff = std::chrono::milliseconds(20);
     duration maxBackoff = std::chrono::milliseconds(500);
+    /// The owner's node answers at the deadline at the latest; this much later it counts as silent.
+    duration ownerSlack = std::chrono::milliseconds(100);
 };
 
 /// Callbacks that select members for calls without key ownership and observe each attempt.
--- a/src/routing/internal/entry_call.cpp
+++ b/src/routing/internal/entry_call.cpp
@@ -134,8 +134,8 @@
     auto* client = m_router->m_peers.find(*m_router->m_snapshot, owner);
     if (!client)
         return nullptr;
-    return client->start(
-        toForwardedRequest(attempted, { owner }, m_router->m_hooks.now()), attempted.deadline, std::move(handlers));
+    return client->start(toForwardedRequest(attempted, { owner }, m_router->m_hooks.now()),
+        attempted.deadline + m_router->m_limits.ownerSlack, std::move(handlers));
 }
 
 std::optional<failure> entry_call::readFailure(const http_response_head& head) const
@@ -287,7 +287,7 @@
 {
     const auto now = m_router->m_hooks.now();
     if (now >= m_call->deadline)
-        return fail(reason);
+        return fail({ reason.outcome, error_code::deadline_exceeded, "the deadline passed: " + reason.message });
     m_isWaitingForRoute = true;
     // A new snapshot wakes the call immediately. The timer covers changes without a new snapshot, such as a lease that
     // is valid again; retries by timer spend the retry budget.
--- a/src/routing/tests/request_path_fixture.h
+++ b/src/routing/tests/request_path_fixture.h
@@ -13,6 +13,7 @@
     instance_ref self;
     std::unique_ptr<request_task> task;
     std::vector<to_control_task> sent;
+    duration clockLead {}; ///< Added to the node's clock; its deadlines pass that much later.
 };
 
 /// Backend server whose responses the test sets with `answer`.
@@ -74,8 +75,9 @@
         node.self = { name, number };
         request_task_settings settings;
         settings.entry = settings.forward = { "127.0.0.1", 0 };
+        settings.entryLimits.ownerSlack = std::chrono::minutes(1);
         request_task_hooks hooks;
-        hooks.now = &boot_clock::now;
+        hooks.now = [&node] { return boot_clock::now() + node.clockLead; };
         hooks.toControlTask = [&node](to_control_task message) { node.sent.push_back(std::move(message)); };
         hooks.seed = number;
         node.task = request_task::create(base.get(), settings, hooks).value();
@@ -89,6 +91,13 @@
         nodes[name].task->post(lease_update { nodes[name].self, end });
     }
 
+    /// Sets a node's clock ahead, and its lease with it.
+    void setClockLead(const std::string& name, duration lead)
+    {
+        nodes[name].clockLead = lead;
+        setLease(name, boot_clock::now() + lead + std::chrono::hours(1));
+    }
+
     /// Assigns all partitions to the node with a higher epoch.
     void assignAll(const std::string& owner)
     {
--- a/src/routing/tests/request_path_test.cpp
+++ b/src/routing/tests/request_path_test.cpp
@@ -81,9 +81,11 @@
     };
 
     // Guards against the verdict not_run for a call that reached the backend server, and against a second run of a once
-    // call. Covers failures before and after the point up to which not_run is possible.
+    // call. Covers failures before and after the point up to which not_run is possible. The owner's node awaits every
+    // answer of its backend server, so that the outcome does not depend on when the caller's deadline passes.
     TEST_F(RequestPathTest, FaultsOfTheBackendServer)
     {
+        setClockLead("b", std::chrono::hours(1));
         const backend_fault faults[] = {
             { "closes without an answer", [](http_exchange_ptr exchange) { exchange->abort(); }, "may_have_run",
                 "connection_lost" },
@@ -112,6 +114,39 @@
         }
     }
 
+    // Guards against `may_have_run` for a call that its owner's node refuses, because the entry node gives the call up
+    // at its deadline while the refusal is on its way.
+    TEST_F(RequestPathTest, RefusalByTheOwnersNodeCountsAfterTheDeadline)
+    {
+        setClockLead("b", std::chrono::hours(1));
+        auto headers = timeout("2000");
+        headers.add(header::token, token("a"));
+        backends["b"].answer = [&](http_exchange_ptr exchange) { backends["b"].held.push_back(std::move(exchange)); };
+        const auto index = send("a", "once", headers);
+        runUntil([&] { return backends["b"].held.size() == 1 || answers[index]; });
+        ASSERT_FALSE(answers[index]);
+        runFor(std::chrono::milliseconds(2100));
+        const auto held = backends["b"].held[0];
+        held->respond(refusalOf(held->request()));
+        const auto answer = wait(index);
+        EXPECT_EQ(verdictOf(answer), "not_run");
+        EXPECT_EQ(errorOf(answer), "deadline_exceeded");
+    }
+
+    // Guards against `not_run` for a call of which the backend server says nothing until the deadline.
+    TEST_F(RequestPathTest, SilenceOfTheBackendServerUntilTheDeadlineMayHaveRun)
+    {
+        auto headers = timeout("2000");
+        headers.add(header::token, token("a"));
+        backends["b"].answer = [&](http_exchange_ptr exchange) { backends["b"].held.push_back(std::move(exchange)); };
+        const auto index = send("a", "once", headers);
+        runUntil([&] { return backends["b"].held.size() == 1 || answers[index]; });
+        ASSERT_FALSE(answers[index]);
+        const auto answer = wait(index);
+        EXPECT_EQ(verdictOf(answer), "may_have_run");
+        EXPECT_EQ(errorOf(answer), "deadline_exceeded");
+    }
+
     // Guards against `not_run` for a call that runs: the backend server writes the refusal of an earlier call once more
     // on a kept connection, where the answer is expected.
     TEST_F(RequestPathTest, RefusalWithoutAnIdIsNoProofOnAKeptConnection)
