Limit the bytes of answers that are not the request's own body

Cause: interim answers, answers of other requests and chunk extensions were read and dropped without a limit, so that a connection kept the process busy until the request's deadline. For other shapes limits were in place: heads (http-parser counts 80 KiB, the headers 64 KiB), bodies (the caller's limit), bytes on an idle connection (closed at once).

Evidence: EndlessAnswerTest.ConnectionIsClosedAfterABoundedNumberOfBytes on the unfixed code: of 16 shapes five reached the test's limit of 24 MiB: "interim answers", "body of another answer", "chunks of another answer", "answers of other requests", "chunk extensions". The other 11 were closed before, and so was an idle connection.

Why it works: the connection counts what it reads for a request, and ends it as may_have_run when the bytes that are not in the body of its own answer exceed 1 MiB and 16 for each byte of that body. One-byte chunks stay below that (SmallChunksAreNotTakenForEndlessBytes). A repeated answer of more than 1 MiB costs the request behind it its answer.

After: the http tests (40) pass.

--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -14,6 +14,10 @@
     constexpr std::size_t headerLimitBytes = 64 * 1024;
     /// Part of a server's keep-alive time for which a connection is used again; the rest covers the way of a request.
     constexpr double keepAliveShare = 0.8;
+    /// Bytes of one request's answers that are not its body: heads, framing, interim answers, those of other requests.
+    constexpr std::size_t maxOverheadBytes = 1 << 20;
+    /// A chunk of one byte takes six more, with a usual form of its size.
+    constexpr std::size_t maxOverheadPerBodyByte = 16;
     constexpr std::size_t maxRequests = 4096; ///< Per connection; bounds the memory for their ids.
 
     std::string requestHead(const http_request& request, const std::string& peerName)
@@ -68,7 +72,10 @@
     , m_parser(message_parser::side::responses, headerLimitBytes,
           { [this] { return acceptHead(); },
               [this](std::string_view data) {
-                  if (!m_isInterim && m_handlers.onData)
+                  if (m_isInterim)
+                      return;
+                  m_bodyBytes += data.size();
+                  if (m_handlers.onData)
                       m_handlers.onData(data);
               },
               [this] { return acceptEnd(); } })
@@ -111,6 +118,7 @@
     m_hasWritten = false;
     m_isInterim = false;
     m_failure = connection_end::lost;
+    m_readBytes = m_bodyBytes = 0;
     m_hasOtherAnswers = !m_carriedIds.empty();
     m_carriedIds.insert(hashBytes(m_handlers.matching.requestId));
     if (request.method == "HEAD")
@@ -181,8 +189,11 @@
         const auto piece = firstPiece(input);
         const std::size_t taken = m_parser.parse(piece);
         evbuffer_drain(input, taken);
+        m_readBytes += taken;
         if (m_parser.hasFailed())
             return end(m_failure);
+        if (m_isBusy && m_readBytes - m_bodyBytes > maxOverheadBytes + maxOverheadPerBodyByte * m_bodyBytes)
+            return end(connection_end::excessive);
         if (taken == 0 && m_isBusy)
             m_parser.proceed();
     }
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -15,6 +15,7 @@
     refused, ///< Nothing listens at the server's address.
     silent, ///< The server's machine acknowledged nothing for the time limit.
     lost, ///< Closed, reset, or not an answer in the protocol.
+    excessive, ///< Too many bytes arrived that are not in the body of the request's answer.
     unmatched, ///< An answer arrived that names no request and may belong to an earlier one.
 };
 
@@ -79,6 +80,8 @@
     bool m_keepsAlive = true;
     bool m_isInterim = false; ///< The current answer is a 1xx one or belongs to another request.
     bool m_hasOtherAnswers = false; ///< Earlier requests were sent, or answers of others were dropped.
+    std::size_t m_readBytes = 0; ///< Since the request was sent.
+    std::size_t m_bodyBytes = 0; ///< Of them, in the body of its own answer.
     connection_end m_failure = connection_end::lost; ///< Reported if the parser fails.
     std::unordered_set<std::uint64_t> m_carriedIds; ///< Hashes of the ids of all requests sent.
     bool m_isDirty = false; ///< Bytes arrived that belong to no request.
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -66,6 +66,8 @@
                 return notRun(error_code::connection_failed, "cannot connect to " + m_server);
             if (how == connection_end::unmatched)
                 return mayHaveRun(error_code::connection_lost, "an answer of " + m_server + " names no request");
+            if (how == connection_end::excessive)
+                return mayHaveRun(error_code::connection_lost, m_server + " sent too many bytes beside its answer");
             return mayHaveRun(error_code::connection_lost, "the connection to " + m_server + " was lost");
         }
 
