Read a kept connection again after its answer ended paused

Callers could see: a call that gets no answer until its deadline, on streams of heatherdriftd. No report of it exists; found while reading for repeated refusals.

Cause: a slow caller makes the relay pause the reading of the backend server's connection. If the answer ends with the bytes that led to the pause, nobody resumes it, and the connection is kept without being read: neither the next answer, nor a close, nor bytes without a request are seen.

Why it works: a connection is read again as soon as it is idle.

After: the http tests (41) pass.

--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -129,7 +129,11 @@
         bufferevent_write(m_stream.get(), request.body.data(), request.body.size());
 }
 
-void client_connection::watchIdle(std::function<void()> onLost) { m_onLost = std::move(onLost); }
+void client_connection::watchIdle(std::function<void()> onLost)
+{
+    m_onLost = std::move(onLost);
+    setReading(true);
+}
 
 bool client_connection::isReusable(time_point now) const
 {
--- a/src/http/tests/kept_connection_test.cpp
+++ b/src/http/tests/kept_connection_test.cpp
@@ -130,5 +130,26 @@
         EXPECT_TRUE(answer->has_value());
     }
 
+    // Guards against a request whose answer is never read: the call before it paused reading with its last bytes.
+    TEST_F(KeptConnectionTest, ConnectionPausedAtTheEndOfAnAnswerIsReadAgain)
+    {
+        http_call_ptr call;
+        bool isDone = false;
+        http_call_handlers handlers;
+        handlers.onData = [&](std::string_view) { call->pause(); };
+        handlers.onDone = [&](const result<void>& how) { isDone = how.has_value(); };
+        call = client->start({ "POST", "/", {}, "x" }, test_loop::farDeadline(), handlers);
+        const int peer = acceptPeer();
+        takeRequest(peer);
+        write(peer, success);
+        loop.runUntil([&] { return isDone; });
+        start();
+        takeRequest(peer);
+        write(peer, success);
+        for (int i = 0; i < 20 && !answer; ++i)
+            loop.runReady();
+        EXPECT_TRUE(answer.has_value());
+    }
+
 } // namespace
 } // namespace heatherdrift
