Pass on the status of a refusal only with a proof of it

Callers could see: 408, 429 or 503, which promise that a request has not run and will not, for one that ran.

Cause: the gate passed on every failure of the backend server. An answer with such a status and the id of the request, but without the statement that it was not run and without the backend server's signature, became that promise.

Evidence: GateAnswerTest.StatusOfARefusalAloneIsNoProof on the unfixed code: ran instead of may_have_run for 408, 429 and 503, so that the status was passed on.

Why it works: without the signature such an answer counts like a success without it: the request may have run. Signed answers are passed on unchanged, as before.

--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -26,6 +26,16 @@
     }
 
     constexpr int statusMisdirected = 421;
+    constexpr int statusRequestTimeout = 408;
+    constexpr int statusTooManyRequests = 429;
+    constexpr int statusUnavailable = 503;
+
+    /// Callers take these statuses for a statement that the request has not run.
+    bool isRefusalStatus(int status)
+    {
+        return status == statusRequestTimeout || status == statusTooManyRequests || status == statusUnavailable;
+    }
+
     bool isSuccess(int status) { return status / 100 == 2; }
 
 } // namespace
@@ -215,7 +225,8 @@
         answer.reachedBackend = true;
         return answer;
     }
-    if (isSuccess(head.status) && !info.isFromBackend) {
+    const bool needsSignature = isSuccess(head.status) || isRefusalStatus(head.status);
+    if (needsSignature && !info.isFromBackend) {
         answer.outcome = verdict::may_have_run;
         answer.reason = error_code::connection_lost;
         return answer;
--- a/src/mesh/tests/gate_answer_test.cpp
+++ b/src/mesh/tests/gate_answer_test.cpp
@@ -167,6 +167,16 @@
         }
     }
 
+    // Guards against a caller that is told "not run" by the status of an answer in which the backend server does not
+    // state it.
+    TEST_F(GateAnswerTest, StatusOfARefusalAloneIsNoProof)
+    {
+        for (const std::string status : { "408", "429", "503" }) {
+            start({ { "HTTP/1.1 " + status + " x\r\nid: r1\r\nContent-Length: 0\r\n\r\n" } });
+            EXPECT_EQ(toString(send("POST", "r1").outcome), toString(verdict::may_have_run)) << status;
+        }
+    }
+
     // Guards against a connection that stays in use after an answer that may belong to another request.
     TEST_F(GateAnswerTest, ConnectionWithAnAnswerOfUnknownOriginIsClosed)
     {
