Remember a reported configuration until the store is known to lack it

A node that had heard of a newer configuration answered 404 again, for routes that may exist in it, when the report was 5 s old or its source stated an older one, for example after a restart of the source. The knowledge was tied to the sources of the fetch. It now ends only when the copy is known to have matched the store after the report.

Evidence: found by a reviewer in the code. With the rule of before, ReportedConfigurationIsRememberedUntilTheStoreIsKnownToLackIt fails; it passes now.

--- a/src/mesh/internal/table_exchange.cpp
+++ b/src/mesh/internal/table_exchange.cpp
@@ -83,6 +83,8 @@
             table.newest = statement.newestChange;
             forgetFailures(table);
         }
+        if (statement.newestChange == table.newest)
+            table.newestStatedAt = boot_clock::now();
         return fetchNewest(table);
     }
     table.newer.erase(node);
@@ -196,11 +198,10 @@
 {
     const auto now = boot_clock::now();
     const auto& table = m_configuration;
-    const auto isMissing = [&](const auto& entry) {
-        return entry.second.version > table.watcher.copy().newestChange()
-            && now - entry.second.statedAt < maxStatementAge;
-    };
-    if (std::ranges::none_of(table.newer, isMissing))
+    // A report stays valid until the copy is known to match the store at a later time, also if nobody repeats it.
+    const bool isBehind
+        = table.newest > table.watcher.copy().newestChange() && table.watcher.currentAt() <= table.newestStatedAt;
+    if (!isBehind)
         return std::nullopt;
     const duration expected = table.fetchTime > duration::zero() ? table.fetchTime : duration(firstFetchTime);
     const duration elapsed = table.isFetching ? now - table.fetchStartedAt : duration::zero();
--- a/src/mesh/internal/table_exchange.h
+++ b/src/mesh/internal/table_exchange.h
@@ -48,7 +48,8 @@
         timer retryTimer;
         update_encoder encoder { watcher.copy() };
         std::map<instance_id, newer_change> newer {}; ///< Changes that other nodes reported and this one lacked.
-        row_version newest = 0; ///< Newest change that another node has reported.
+        row_version newest = 0; ///< Newest change that another node has reported
+        time_point newestStatedAt {}; ///< and the time of the last such report.
         std::set<instance_id> tried {}; ///< Nodes that did not deliver it since the last retry.
         int failedRounds = 0; ///< Retries since the last successful fetch.
         bool isFetching = false;
--- a/src/mesh/tests/table_exchange_test.cpp
+++ b/src/mesh/tests/table_exchange_test.cpp
@@ -160,6 +160,22 @@
         EXPECT_EQ(askingNode.exchange.configurationWait(), std::nullopt);
     }
 
+    // Guards against a node that forgets a reported configuration because nobody repeats the report, as when its
+    // sources restart, and then answers 404 for routes that exist.
+    TEST_F(TableExchangeTest, ReportedConfigurationIsRememberedUntilTheStoreIsKnownToLackIt)
+    {
+        auto silent = loop.listen([](http_exchange_ptr) {});
+        addNode("n4", silent->address(), "z");
+        const auto now = boot_clock::now();
+        askingNode.exchange.handleStatements("n4", newerConfiguration(), now);
+        table_statements older;
+        older.configuration = { 4, seconds(30) };
+        askingNode.exchange.handleStatements("n4", older, now);
+        EXPECT_TRUE(askingNode.exchange.configurationWait());
+        askingNode.configuration.confirm(now + seconds(1));
+        EXPECT_EQ(askingNode.exchange.configurationWait(), std::nullopt);
+    }
+
     // Guards against a node that waits for the next mention of a change after a failed fetch, although it knows other
     // nodes that have the change.
     TEST_F(TableExchangeTest, FailedFetchGoesOnWithAnotherNode)
