--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -119,7 +119,7 @@
     m_isInterim = false;
     m_failure = connection_end::lost;
     m_readBytes = m_bodyBytes = 0;
-    m_hasOtherAnswers = !m_carriedIds.empty();
+    m_mayHaveOtherAnswers = !m_carriedIds.empty();
     m_carriedIds.insert(hashBytes(m_handlers.matching.requestId));
     if (request.method == "HEAD")
         m_parser.expectNoBody();
@@ -234,8 +234,8 @@
         return true;
     const auto origin = m_handlers.matching.originOf(head);
     if (origin == answer_origin::other_request)
-        m_isInterim = m_hasOtherAnswers = true;
-    if (origin != answer_origin::unstated || !m_hasOtherAnswers)
+        m_isInterim = m_mayHaveOtherAnswers = true;
+    if (origin != answer_origin::unstated || !m_mayHaveOtherAnswers)
         return true;
     m_failure = connection_end::unmatched;
     return false;
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -79,7 +79,7 @@
     bool m_hasWritten = false;
     bool m_keepsAlive = true;
     bool m_isInterim = false; ///< The current answer is a 1xx one or belongs to another request.
-    bool m_hasOtherAnswers = false; ///< Earlier requests were sent, or answers of others were dropped.
+    bool m_mayHaveOtherAnswers = false; ///< Earlier requests were sent, or answers of others were dropped.
     std::size_t m_readBytes = 0; ///< Since the request was sent.
     std::size_t m_bodyBytes = 0; ///< Of them, in the body of its own answer.
     connection_end m_failure = connection_end::lost; ///< Reported if the parser fails.
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -44,8 +44,9 @@
         logMap(map, version, readAt.has_value());
     const auto now = m_hooks.now();
     if (eraOf(version) > eraOf(m_version)) {
-        const auto spread = std::max<duration>(minProofSpread, proofInterval * (otherOwners().size() + 1));
-        m_proofDueAt = now + std::chrono::duration_cast<duration>(spread * m_random());
+        const auto spread
+            = std::max<duration>(minExclusiveReleaseSpread, exclusiveReleaseInterval * (otherOwners().size() + 1));
+        m_exclusiveReleaseDueAt = now + std::chrono::duration_cast<duration>(spread * m_random());
     }
     m_version = version;
     m_map = map;
@@ -274,8 +275,8 @@
         next = next.replace(ended, hasSuccessor ? life : life_name(), nextFence());
     }
     if (!life.empty()) {
-        if (m_isDraining || now >= m_proofDueAt)
-            next = m_holdManager.releaseProven(next);
+        if (m_isDraining || now >= m_exclusiveReleaseDueAt)
+            next = m_holdManager.releaseExclusivelyHeld(next);
         next = m_holdManager.releaseUnheld(next, now);
         next = releaseAfterSilence(next, now);
     }
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -163,7 +163,7 @@
     time_point m_eraNotedAt; ///< Start of this process, or the last restore that it has learned of.
     /// Time until which newer maps of the earlier era are collected from the other owners; min(): not asked yet.
     time_point m_collectingUntil = time_point::min();
-    time_point m_proofDueAt = time_point::min();
+    time_point m_exclusiveReleaseDueAt = time_point::min();
     std::set<row_key> m_earlierRows; ///< Rows of earlier eras that exist in this one.
     bool m_isDraining = false;
     std::set<life_name> m_endedLives; ///< Lives that are certain to have ended and may still be in the map.
--- a/src/mesh/internal/ownership_era.cpp
+++ b/src/mesh/internal/ownership_era.cpp
@@ -125,7 +125,8 @@
     }
     if (now < m_collectingUntil)
         return std::nullopt;
-    return m_holdManager.releaseProven(m_map.withUnknownHolder(nextFence(), silenceAfter(leaseTime + maxExtension)));
+    return m_holdManager.releaseExclusivelyHeld(
+        m_map.withUnknownHolder(nextFence(), silenceAfter(leaseTime + maxExtension)));
 }
 
 } // namespace heatherdrift
--- a/src/mesh/internal/ownership_timing.h
+++ b/src/mesh/internal/ownership_timing.h
@@ -52,8 +52,8 @@
 inline constexpr int maxBackoffDoublings = 3; ///< A release must not be delayed by much more than a second.
 /// Owners remove unknown holders from the map one after the other, at most at this rate and not within less than a
 /// second, so that their writes seldom conflict.
-inline constexpr auto proofInterval = std::chrono::milliseconds(20);
-inline constexpr auto minProofSpread = std::chrono::milliseconds(1000);
+inline constexpr auto exclusiveReleaseInterval = std::chrono::milliseconds(20);
+inline constexpr auto minExclusiveReleaseSpread = std::chrono::milliseconds(1000);
 inline constexpr std::size_t maxEndedLives = 64; ///< Far more than can end while a map change is in progress.
 inline constexpr std::size_t maxSeenAssignments = 4096;
 
--- a/src/mesh/internal/peer_transfer.cpp
+++ b/src/mesh/internal/peer_transfer.cpp
@@ -8,7 +8,7 @@
 
     /// A reachable node responds within milliseconds; the kernel repeats a lost packet after 200 ms.
     constexpr auto stallTime = std::chrono::milliseconds(400);
-    /// Share of a link of 12 Mbit/s that is left beside the clients' answers.
+    /// A slow link carries the answers to callers as well.
     constexpr std::size_t slowestBytesPerSecond = 128 * 1024;
 
 } // namespace
--- a/src/mesh/internal/text_delta.cpp
+++ b/src/mesh/internal/text_delta.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    constexpr int compressionLevel = 3; ///< About 200 MB/s per core; higher levels save little on such texts.
+    constexpr int compressionLevel = 3; ///< Higher levels save little on such texts.
     constexpr std::size_t wordBytes = sizeof(std::uint64_t);
     constexpr std::size_t headBytes = 3 * wordBytes; ///< Length and hash of the text, hash of the base.
 
--- a/src/ranges/hold_manager.h
+++ b/src/ranges/hold_manager.h
@@ -89,7 +89,7 @@
     range_map releaseUnheld(const range_map&, time_point now) const;
     /// Returns the map without earlier owners of the keys that only this incarnation can hold since the store came
     /// back.
-    range_map releaseProven(const range_map&) const;
+    range_map releaseExclusivelyHeld(const range_map&) const;
     /// Whether requests for the key may be sent to the backend server.
     bool mayServe(key_number, time_point now) const;
     /// Discards the grants after the backend server rejected a key as not held.
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -82,7 +82,7 @@
     return keys;
 }
 
-range_map hold_manager::releaseProven(const range_map& map) const
+range_map hold_manager::releaseExclusivelyHeld(const range_map& map) const
 {
     range_map out = map;
     for (const auto& range : map.ranges()) {
--- a/src/ranges/tests/hold_manager_test.cpp
+++ b/src/ranges/tests/hold_manager_test.cpp
@@ -154,7 +154,8 @@
         const auto grant = reportAndGrant(start);
         EXPECT_TRUE(grant.isValid);
         EXPECT_TRUE(grant.ranges.empty());
-        EXPECT_EQ(manager.releaseProven(owned.withUnknownHolder(50, 12000)), owned.withUnknownHolder(50, 12000));
+        EXPECT_EQ(
+            manager.releaseExclusivelyHeld(owned.withUnknownHolder(50, 12000)), owned.withUnknownHolder(50, 12000));
     }
 
     // Guards against keys that lapse because the store came back from a copy, although their holder still runs, and
@@ -172,7 +173,7 @@
         EXPECT_EQ(grant.ranges[0], (granted_range { { 0, 99 }, 50, "" }));
         EXPECT_TRUE(manager.mayServe(5, start + seconds(1)));
         EXPECT_FALSE(manager.mayServe(500, start + seconds(1)));
-        const auto proven = manager.releaseProven(restored);
+        const auto proven = manager.releaseExclusivelyHeld(restored);
         EXPECT_TRUE(proven.find(99).releasing.empty());
         EXPECT_TRUE(proven.find(100).mayHaveUnknownHolder());
     }
--- a/src/store/watched_store.h
+++ b/src/store/watched_store.h
@@ -50,8 +50,9 @@
 ///
 /// The store may come back from an older copy: what was written since is gone, and its numbers are given out again. All
 /// versions contain the store's era (makeVersion), so that they keep growing. Watching from a version of an earlier era
-/// fails with `not_found`. A write whose checks name versions of an earlier era fails with `store_restored` and the
-/// verdict may_have_run: its conditions were compared with numbers of another era.
+/// fails with `not_found`. A write whose checks name versions of an earlier era fails with `store_restored`: with
+/// not_run if the later era was known and the write was not sent, otherwise with may_have_run, since its conditions
+/// were compared with numbers of another era.
 class watched_store {
 public:
     virtual ~watched_store() = default;
