--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -250,6 +250,11 @@
                     { "bytes", std::to_string(row.value->size()) },
                     { "routes", std::to_string(m_routes.configuration().routes.size()) },
                     { "apply_ms", millisecondsText(boot_clock::now() - startedAt) } });
+            for (const auto& route : m_routes.configuration().routes) {
+                if (route.hasUnknownType)
+                    logEvent(log_event::route_type_unknown,
+                        { { "route", route.name }, { "version", std::to_string(version) } });
+            }
             const auto& limits = m_routes.configuration().limits;
             const auto idle = std::chrono::duration_cast<std::chrono::seconds>(limits.idleTimeout).count();
             m_entryServer->setLimits(
--- a/src/routes/route_configuration.h
+++ b/src/routes/route_configuration.h
@@ -27,6 +27,7 @@
     duration timeout {}; ///< Longest time until the final answer; zero: limited only by the caller's deadline.
     duration latencyObjective {}; ///< Time within which requests should be answered; zero: unknown.
     int priority = 0; ///< 0 is the highest.
+    bool hasUnknownType = false; ///< The configured type is missing or not known, so the route is not idempotent.
 
     bool operator==(const route&) const = default;
 };
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -68,6 +68,8 @@
             "A newer configuration is in force on this node." },
         { log_event::configuration_rejected, "configuration_rejected", log_level::error,
             "A stored configuration could not be parsed." },
+        { log_event::route_type_unknown, "route_type_unknown", log_level::warning,
+            "The type of a route is missing or not known; its requests run at most once." },
         { log_event::table_fetched, "table_fetched", log_level::info,
             "Changes of a table arrived from another node: bytes, time and attempt." },
         { log_event::table_fetch_failed, "table_fetch_failed", log_level::warning,
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -32,6 +32,7 @@
     drain_finished = 1405,
     configuration_applied = 1501,
     configuration_rejected = 1502,
+    route_type_unknown = 1503,
     table_fetched = 1504,
     table_fetch_failed = 1505,
     table_read = 1506,
