Drop headers between nodes that callers and backend servers set

Cause, by reading: headers that start with "heatherdrift-" of a caller were forwarded in front of those of the entry node, and the gate reads the first. A caller could choose the service named as its sender, the id, the deadline, and the target node, whose rejection counts as proof that the node was replaced. A backend server could state a verdict for its own answer, so that a request that ran was answered as not run. Of the same class, also fixed: a malformed key header sent the request on without a key, and an answer that ran without the header that it reached the backend server did not count as an attempt. Change: both encoders drop all headers with the prefix; the decoders take the safe side. Tests: four in ForwardProtocol, which fail without the change.

--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+    constexpr std::string_view headerPrefix = "heatherdrift-"; ///< Of all headers of this protocol.
     constexpr const char* idHeader = "heatherdrift-request-id";
     constexpr const char* routeHeader = "heatherdrift-route";
     constexpr const char* serviceHeader = "heatherdrift-service";
@@ -36,6 +37,33 @@
     constexpr std::int64_t maxRetryAfter = std::chrono::microseconds(std::chrono::hours(1)).count();
     constexpr std::int64_t maxPermille = 1'000'000'000;
 
+    std::optional<std::int64_t> parseNumber(std::string_view text)
+    {
+        std::int64_t out = 0;
+        const auto* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, out);
+        if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+            return std::nullopt;
+        return out;
+    }
+
+    bool isProtocolHeader(std::string_view name)
+    {
+        return name.size() >= headerPrefix.size()
+            && isSameHeaderName(name.substr(0, headerPrefix.size()), headerPrefix);
+    }
+
+    /// Without headers of this protocol, which callers and backend servers are not allowed to set.
+    http_headers foreignHeaders(const http_headers& headers)
+    {
+        http_headers kept;
+        for (const auto& [name, value] : headers.fields()) {
+            if (!isProtocolHeader(name))
+                kept.add(name, value);
+        }
+        return kept;
+    }
+
     /// Reads the headers of this protocol and removes them from the message.
     class header_reader {
     public:
@@ -54,16 +82,7 @@
             return copy;
         }
 
-        std::optional<std::int64_t> number(const char* name)
-        {
-            const std::string value = text(name);
-            std::int64_t out = 0;
-            const auto* end = value.data() + value.size();
-            const auto parsed = std::from_chars(value.data(), end, out);
-            if (value.empty() || parsed.ec != std::errc() || parsed.ptr != end)
-                return std::nullopt;
-            return out;
-        }
+        std::optional<std::int64_t> number(const char* name) { return parseNumber(text(name)); }
 
         /// The nearest number in the range; the least one without the header.
         std::int64_t numberIn(const char* name, std::int64_t least, std::int64_t most)
@@ -104,7 +123,8 @@
 
 http_request encodeForward(const routed_request& request, time_point now)
 {
-    http_request out = request.message;
+    http_request out { request.message.method, request.message.target, foreignHeaders(request.message.headers),
+        request.message.body };
     auto& headers = out.headers;
     headers.add(idHeader, request.id);
     headers.add(routeHeader, request.route);
@@ -142,14 +162,20 @@
     request.priority = static_cast<int>(*priority);
     request.isFromOwnHost = !reader.text(ownHostHeader).empty();
     request.isIdempotent = !reader.text(idempotentHeader).empty();
-    if (const auto key = reader.number(keyHeader); key && *key >= 0 && *key <= lastKey)
+    if (const auto text = reader.text(keyHeader); !text.empty()) {
+        // Without its key, the request would run on a backend server that may not hold it.
+        const auto key = parseNumber(text);
+        if (!key || *key < 0 || *key > lastKey)
+            return notRun(error_code::bad_request, "forwarded request with a malformed key header");
         request.key = static_cast<key_number>(*key);
+    }
     return request;
 }
 
 http_response encodeAnswer(const gate_answer& answer)
 {
-    http_response out = answer.response;
+    http_response out { { answer.response.head.status, foreignHeaders(answer.response.head.headers) },
+        answer.response.body };
     auto& headers = out.head.headers;
     if (answer.outcome != verdict::ran) {
         out = {};
@@ -184,7 +210,8 @@
     answer.outcome = *outcome;
     answer.reason = parseErrorCode(reader.text(errorHeader)).value_or(error_code::internal);
     answer.retryAfter = duration(reader.numberIn(retryAfterHeader, 0, maxRetryAfter));
-    answer.reachedBackend = !reader.text(reachedHeader).empty();
+    // A request that may have run has reached the backend server, with or without the header.
+    answer.reachedBackend = !reader.text(reachedHeader).empty() || answer.outcome != verdict::not_run;
     answer.load.life = reader.text(lifeHeader);
     answer.load.load = static_cast<double>(reader.numberIn(loadHeader, 0, maxPermille)) / permille;
     answer.load.demand = static_cast<double>(reader.numberIn(demandHeader, 0, maxPermille)) / permille;
--- a/src/mesh/tests/forward_protocol_test.cpp
+++ b/src/mesh/tests/forward_protocol_test.cpp
@@ -48,6 +48,65 @@
         EXPECT_EQ(got.key, 77u);
     }
 
+    // Guards against callers that set headers between nodes: they chose the service that their request named as its
+    // sender, or the node it was meant for, whose rejection then counted as proof that the node was replaced.
+    TEST(ForwardProtocol, HeadersOfTheProtocolFromACallerAreDropped)
+    {
+        const auto sent = makeRequest();
+        auto forged = sent;
+        for (const char* name : { "heatherdrift-request-id", "Heatherdrift-Caller-Service", "heatherdrift-service",
+                 "heatherdrift-idempotent", "heatherdrift-key", "heatherdrift-timeout-us", "heatherdrift-target" })
+            forged.message.headers.add(name, "9");
+        const auto message = encodeForward(forged, now);
+        EXPECT_FALSE(message.headers.find(targetNodeHeader));
+        const auto got = decodeForward(message, now);
+        ASSERT_TRUE(got.has_value());
+        EXPECT_EQ(got.value().message, sent.message);
+        EXPECT_EQ(got.value().id, sent.id);
+        EXPECT_EQ(got.value().service, sent.service);
+        EXPECT_EQ(got.value().callerService, sent.callerService);
+        EXPECT_EQ(got.value().deadline, sent.deadline);
+        EXPECT_EQ(got.value().key, sent.key);
+        EXPECT_FALSE(got.value().isIdempotent);
+    }
+
+    // Guards against a backend server whose answer states a verdict: an unsafe request that ran was answered as not
+    // run.
+    TEST(ForwardProtocol, HeadersOfTheProtocolFromABackendServerAreDropped)
+    {
+        gate_answer ran;
+        ran.outcome = verdict::ran;
+        ran.reachedBackend = true;
+        ran.response = { { 500, { { "heatherdrift-verdict", "not_run" }, { "X-Own", "1" } } }, "body" };
+        const auto got = decodeAnswer(encodeAnswer(ran));
+        ASSERT_TRUE(got.has_value());
+        EXPECT_EQ(got.value().outcome, verdict::ran);
+        EXPECT_EQ(got.value().response, (http_response { { 500, { { "X-Own", "1" } } }, "body" }));
+    }
+
+    // Guards against a request for a key that runs without it, on a backend server that may not hold the key.
+    TEST(ForwardProtocol, MalformedKeyIsRejected)
+    {
+        for (const char* key : { "x", "-1", "65536", "7 ", "99999999999999999999" }) {
+            auto message = encodeForward(makeRequest(), now);
+            message.headers.set("heatherdrift-key", key);
+            EXPECT_TRUE(decodeForward(message, now).has_error()) << key;
+        }
+    }
+
+    // Guards against an answer that may have run and counts as one that did not reach the backend server, and so not
+    // towards the maximum number of attempts.
+    TEST(ForwardProtocol, AnswerThatMayHaveRunReachedTheBackendServer)
+    {
+        for (const auto outcome : { verdict::ran, verdict::may_have_run }) {
+            gate_answer answer;
+            answer.outcome = outcome;
+            const auto got = decodeAnswer(encodeAnswer(answer));
+            ASSERT_TRUE(got.has_value());
+            EXPECT_TRUE(got.value().reachedBackend);
+        }
+    }
+
     // Guards against accepting a request that was not forwarded by a node.
     TEST(ForwardProtocol, PlainRequestIsRejected)
     {
