Send changes of range maps between nodes, and share their encoding

The work was concentrated on the owner that confirms the map to all others: it used ten times the processor time of the mean node. All of it grows with owners times ranges. Change: an answer states only the ranges that changed since the version that the asking node names, and is encoded once for all nodes with that version (range_history, without network). A map that is not newer is not decoded. Copies of a map share their ranges, edits without effect copy nothing, owners are indexed once per map. The JSON of a map is written without a document in memory; its text is unchanged.

--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -313,8 +313,9 @@
             if (exchange->request().target == range_replicas::target && exchange->request().method == "PUT")
                 return m_ownerExchange.handlePushedMap(exchange);
             if (exchange->request().target == range_replicas::target)
-                return exchange->respond(
-                    { { 200, {} }, encodeRanges(versioned_ranges { m_ownership.version(), m_ownership.map() }) });
+                return exchange->respond({ { 200, {} },
+                    m_ownership.encodedMap(
+                        range_history::statedBase(exchange->request().headers.find(rangeBaseHeader))) });
             auto request = decodeForward(exchange->request(), boot_clock::now());
             if (request.has_error())
                 return exchange->respond({ { 400, {} }, "" });
--- a/src/mesh/internal/owner_exchange.cpp
+++ b/src/mesh/internal/owner_exchange.cpp
@@ -66,6 +66,7 @@
     const auto round = std::make_shared<confirmation_round>();
     round->askedAt = boot_clock::now();
     round->version = m_ownership.version();
+    round->map = m_ownership.map();
     const auto owners = m_ownership.otherOwners();
     round->askedCount = owners.size();
     for (const auto& life : owners) {
@@ -83,6 +84,7 @@
     const auto round = std::make_shared<confirmation_round>();
     round->askedAt = boot_clock::now();
     round->version = m_ownership.version();
+    round->map = m_ownership.map();
     round->askedCount = m_ownership.otherOwners().size();
     send(round, first->node);
     return true;
@@ -95,6 +97,8 @@
     request.headers.add(targetNodeHeader, node);
     request.headers.add(holderHeader, m_ownership.life());
     request.headers.add(versionHeader, std::to_string(round->version));
+    if (round->version > 0)
+        request.headers.add(rangeBaseHeader, std::to_string(round->version));
     request.headers.add(eraHeader, std::to_string(m_ownership.era()));
     auto limits = peerTransferLimits();
     limits.headBy = round->askedAt + answerTimeout;
@@ -112,7 +116,7 @@
     // Other owners may have answered with newer maps since, but the newest of all is needed after a restore of the
     // store.
     if (statement == nameOf(map_statement::outdated)) {
-        const auto newer = decodeRanges(answer.value().body);
+        const auto newer = decodeRanges(answer.value().body, { round->version, round->map });
         if (newer.has_error() || newer.value().version < m_ownership.version())
             return;
         m_ownership.adoptNewer(newer.value().map, newer.value().version);
@@ -128,7 +132,8 @@
 
 void owner_exchange::push(const std::set<life_name>& lives)
 {
-    const auto body = encodeRanges(versioned_ranges { m_ownership.version(), m_ownership.map() });
+    constexpr row_version noBase = 0;
+    const auto& body = m_ownership.encodedMap(noBase);
     for (const auto& life : lives) {
         const auto* peer = m_directory.findLife(life);
         if (!peer || peer->member.node == m_settings.node)
@@ -143,10 +148,11 @@
 
 void owner_exchange::handlePushedMap(const http_exchange_ptr& exchange)
 {
-    const auto ranges = decodeRanges(exchange->request().body);
+    const auto ranges = decodeRanges(exchange->request().body, { m_ownership.version(), m_ownership.map() });
     if (ranges.has_error())
         return exchange->respond({ { 400, {} }, "" });
-    m_ownership.adoptNewer(ranges.value().map, ranges.value().version);
+    if (ranges.value().version > m_ownership.version())
+        m_ownership.adoptNewer(ranges.value().map, ranges.value().version);
     exchange->respond({});
 }
 
@@ -158,13 +164,14 @@
     row_version version = 0;
     std::from_chars(text.data(), text.data() + text.size(), version);
     m_ownership.handleConfirmation({ holder, version, statedEra(headers) },
-        [this, exchange](map_statement statement, std::optional<duration> ago) {
+        [this, exchange, base = range_history::statedBase(headers.find(rangeBaseHeader))](
+            map_statement statement, std::optional<duration> ago) {
             http_response response { { 200, { { statementHeader, nameOf(statement) } } }, "" };
             response.head.headers.add(eraHeader, std::to_string(m_ownership.era()));
             if (ago)
                 response.head.headers.add(confirmedAgoHeader, std::to_string(ago->count()));
             if (statement == map_statement::outdated)
-                response.body = encodeRanges(versioned_ranges { m_ownership.version(), m_ownership.map() });
+                response.body = m_ownership.encodedMap(base);
             exchange->respond(std::move(response));
         });
 }
--- a/src/mesh/internal/owner_exchange.h
+++ b/src/mesh/internal/owner_exchange.h
@@ -30,6 +30,7 @@
     struct confirmation_round {
         time_point askedAt {};
         row_version version = 0;
+        range_map map; ///< Of that version.
         std::size_t askedCount = 0;
         std::size_t promisedCount = 0;
     };
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -5,6 +5,8 @@
 #include "telemetry/log_event.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 namespace heatherdrift {
 
@@ -48,6 +50,8 @@
             = std::max<duration>(minExclusiveReleaseSpread, exclusiveReleaseInterval * (otherOwners().size() + 1));
         m_exclusiveReleaseDueAt = now + std::chrono::duration_cast<duration>(spread * m_random());
     }
+    if (version != m_version)
+        m_history.add({ version, map });
     m_version = version;
     m_map = map;
     for (const auto& range : map.ranges())
@@ -182,10 +186,18 @@
     return std::ranges::any_of(candidates, [&](const auto& candidate) { return candidate.range.life == life; });
 }
 
+bool ownership::hasOrphans(const range_map& map, const std::vector<owner_candidate>& candidates)
+{
+    std::unordered_set<std::string_view> lives;
+    for (const auto& candidate : candidates)
+        lives.insert(candidate.range.life);
+    return std::ranges::any_of(map.owners(), [&](const auto& owner) { return !lives.contains(owner); });
+}
+
 range_map ownership::releaseAfterSilence(const range_map& map, time_point now) const
 {
     range_map out = map;
-    const bool isFirst = isFirstOwner();
+    const bool isFirst = std::ranges::any_of(map.ranges(), &owned_range::mayHaveUnknownHolder) && isFirstOwner();
     for (const auto& range : map.ranges()) {
         const bool isOwn = range.owner == m_holdManager.life();
         if (range.releasing.empty() || !(isOwn || (isFirst && range.mayHaveUnknownHolder())))
@@ -208,9 +220,7 @@
     const auto self = std::ranges::find(candidates, m_settings.node, &owner_candidate::node);
     if (self == candidates.end())
         return map;
-    const bool hasOrphans
-        = std::ranges::any_of(map.ranges(), [&](const auto& range) { return !isCandidate(range.owner, candidates); });
-    if (!hasOrphans) {
+    if (!hasOrphans(map, candidates)) {
         m_orphanedSince = time_point::max();
         return map;
     }
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -4,6 +4,7 @@
 #include "base/event_handle.h"
 #include "mesh/internal/gate_service.h"
 #include "mesh/internal/owner_candidate.h"
+#include "mesh/internal/range_codec.h"
 #include "ranges/hold_manager.h"
 #include "ranges/range_planner.h"
 #include "settings/mesh_settings.h"
@@ -74,6 +75,8 @@
 
     const range_map& map() const { return m_map; }
     row_version version() const { return m_version; }
+    /// The map for a node that has the given version of it.
+    const std::string& encodedMap(row_version base) { return m_history.encode(base); }
     key_access access(key_number) const;
     /// Applies the held and released keys in a heartbeat of the backend server.
     void handleHeartbeat(const backend_announcement&);
@@ -147,6 +150,8 @@
     void backOff();
     bool isGrantImminent(const owned_range&) const;
     bool isCandidate(const life_name&, const std::vector<owner_candidate>&) const;
+    /// Whether keys have no owner, or one that is no candidate.
+    static bool hasOrphans(const range_map&, const std::vector<owner_candidate>&);
 
     static constexpr store_era noEra = -1;
 
@@ -156,6 +161,7 @@
     ownership_hooks m_hooks;
     hold_manager m_holdManager;
     range_map m_map;
+    range_history m_history;
     row_version m_version = 0;
     bool m_isTableRead = false;
     store_era m_era = noEra; ///< Latest known era of the store.
--- a/src/mesh/internal/range_replicas.cpp
+++ b/src/mesh/internal/range_replicas.cpp
@@ -2,40 +2,16 @@
 
 #include "base/hash.h"
 #include "mesh/internal/peer_transfer.h"
-#include "mesh/internal/text_delta.h"
-#include "store/table_limits.h"
 #include "telemetry/log_event.h"
 
-#include <charconv>
-
 namespace heatherdrift {
 
 namespace {
 
-    constexpr char separator = '\n'; ///< Between the version and the map.
     constexpr auto refreshInterval = std::chrono::milliseconds(200); ///< Limits the requests while keys have no owner.
 
 } // namespace
 
-std::string encodeRanges(const versioned_ranges& ranges)
-{
-    return encodeDelta(std::to_string(ranges.version) + separator + ranges.map.toJson(), "");
-}
-
-result<versioned_ranges> decodeRanges(std::string_view data)
-{
-    BOOST_OUTCOME_TRY(text, decodeDelta(data, "", maxTableBytes));
-    versioned_ranges out;
-    const char* const textEnd = text.data() + text.size();
-    const auto [end, error] = std::from_chars(text.data(), textEnd, out.version);
-    if (error != std::errc() || out.version < 1 || end == textEnd || *end != separator)
-        return notRun(error_code::bad_request, "range map without a version");
-    const std::string_view mapText(end + 1, static_cast<std::size_t>(textEnd - end) - 1);
-    BOOST_OUTCOME_TRY(map, range_map::fromJson(mapText));
-    out.map = std::move(map);
-    return out;
-}
-
 range_replicas::range_replicas(const mesh_settings& settings, mesh_directory& directory)
     : m_directory(directory)
     , m_nextNode(hashBytes(settings.node))
@@ -76,12 +52,16 @@
     http_request request;
     request.target = target;
     request.headers.add(targetNodeHeader, node);
+    const auto known = m_maps.find(service);
+    const auto base = known == m_maps.end() ? versioned_ranges() : known->second;
+    if (base.version > 0)
+        request.headers.add(rangeBaseHeader, std::to_string(base.version));
     fetchWithProgress(m_directory.client(node), std::move(request), peerTransferLimits(),
-        [this, service, node](const result<http_response>& answer) {
+        [this, service, node, base](const result<http_response>& answer) {
             m_fetching.erase(service);
             if (answer.has_error() || answer.value().head.status != 200)
                 return;
-            auto ranges = decodeRanges(answer.value().body);
+            auto ranges = decodeRanges(answer.value().body, base);
             if (ranges.has_error()) {
                 logEvent(
                     log_event::peer_message_rejected, { { "target", node }, { "reason", ranges.error().message } });
--- a/src/mesh/internal/range_replicas.h
+++ b/src/mesh/internal/range_replicas.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "mesh/internal/mesh_directory.h"
-#include "ranges/range_map.h"
+#include "mesh/internal/range_codec.h"
 #include "store/watched_store.h"
 
 #include <map>
@@ -9,15 +9,6 @@
 
 namespace heatherdrift {
 
-/// Range map with its version, as sent between nodes.
-struct versioned_ranges {
-    row_version version = 0;
-    range_map map;
-};
-
-std::string encodeRanges(const versioned_ranges&);
-result<versioned_ranges> decodeRanges(std::string_view);
-
 /// Copies of the range maps of other services. A map is fetched from a node of the service when a response names a
 /// newer version, so that no call to the store is needed.
 class range_replicas {
--- a/src/ranges/internal/range_map.cpp
+++ b/src/ranges/internal/range_map.cpp
@@ -23,7 +23,7 @@
     {
         std::vector<owned_range> out;
         for (auto& range : ranges) {
-            if (!out.empty() && canMerge(out.back(), range))
+            if (!out.empty() && out.back().keys.last + 1 == range.keys.first && canMerge(out.back(), range))
                 out.back().keys.last = range.keys.last;
             else
                 out.push_back(std::move(range));
@@ -31,13 +31,19 @@
         return out;
     }
 
+    owned_range pieceOf(const owned_range& range, key_range keys)
+    {
+        owned_range piece = range;
+        piece.keys = keys;
+        return piece;
+    }
+
     /// Splits the ranges at the ends of the given keys, so that each lies inside or outside of them.
     std::vector<owned_range> splitAt(const std::vector<owned_range>& ranges, key_range keys)
     {
         std::vector<owned_range> out;
         const auto add = [&](const owned_range& range, key_number first, key_number last) {
-            auto& piece = out.emplace_back(range);
-            piece.keys = { first, last };
+            out.push_back(pieceOf(range, { first, last }));
         };
         for (const auto& range : ranges) {
             if (!range.keys.intersects(keys) || keys.covers(range.keys)) {
@@ -139,30 +145,38 @@
 }
 
 range_map::range_map()
-    : m_ranges { { { 0, lastKey }, {}, 0, {}, {}, 0 } }
+    : range_map(std::vector<owned_range> { { { 0, lastKey }, {}, 0, {}, {}, 0 } })
 {
 }
 
 range_map::range_map(std::vector<owned_range> ranges)
-    : m_ranges(mergeIdentical(std::move(ranges)))
+    : m_content(std::make_shared<content>(content { mergeIdentical(std::move(ranges)), {}, {} }))
 {
 }
 
 const owned_range& range_map::find(key_number key) const
 {
-    const auto found = std::ranges::lower_bound(m_ranges, key, {}, [](const auto& range) { return range.keys.last; });
-    return found == m_ranges.end() ? m_ranges.back() : *found;
+    const auto found = std::ranges::lower_bound(ranges(), key, {}, [](const auto& range) { return range.keys.last; });
+    return found == ranges().end() ? ranges().back() : *found;
 }
 
-bool range_map::hasOwner(const life_name& life) const
+bool range_map::hasOwner(const life_name& life) const { return owners().contains(life); }
+
+const std::set<life_name>& range_map::owners() const
 {
-    return std::ranges::any_of(m_ranges, [&](const auto& range) { return range.owner == life; });
+    auto& owners = m_content->owners;
+    if (!owners) {
+        owners.emplace();
+        for (const auto& range : ranges())
+            owners->insert(range.owner);
+    }
+    return *owners;
 }
 
 range_map range_map::mergeSettled() const
 {
     std::vector<owned_range> out;
-    for (const auto& range : m_ranges) {
+    for (const auto& range : ranges()) {
         const bool isSettled = !range.owner.empty() && range.releasing.empty();
         if (out.empty() || !isSettled || out.back().owner != range.owner || !out.back().releasing.empty()) {
             out.push_back(range);
@@ -179,20 +193,24 @@
 
 bool range_map::names(const life_name& life) const
 {
-    return std::ranges::any_of(m_ranges, [&](const auto& range) {
-        return range.owner == life || std::ranges::find(range.releasing, life) != range.releasing.end();
-    });
+    auto& named = m_content->named;
+    if (!named) {
+        named = owners();
+        for (const auto& range : ranges())
+            named->insert(range.releasing.begin(), range.releasing.end());
+    }
+    return named->contains(life);
 }
 
 bool range_map::hasOwners() const
 {
-    return std::ranges::any_of(m_ranges, [](const auto& range) { return !range.owner.empty(); });
+    return std::ranges::any_of(ranges(), [](const auto& range) { return !range.owner.empty(); });
 }
 
 std::uint32_t range_map::keyCount(const life_name& life) const
 {
     std::uint32_t count = 0;
-    for (const auto& range : m_ranges) {
+    for (const auto& range : ranges()) {
         if (range.owner == life)
             count += range.keys.size();
     }
@@ -201,7 +219,7 @@
 
 range_map range_map::assign(key_range keys, const life_name& owner, fencing_token fence, std::int64_t silenceMs) const
 {
-    auto ranges = splitAt(m_ranges, keys);
+    auto ranges = splitAt(this->ranges(), keys);
     for (auto& range : ranges) {
         if (!keys.covers(range.keys) || range.owner == owner)
             continue;
@@ -216,7 +234,7 @@
 
 range_map range_map::release(const life_name& life, key_range keys, const std::string& handover) const
 {
-    auto ranges = splitAt(m_ranges, keys);
+    auto ranges = splitAt(this->ranges(), keys);
     for (auto& range : ranges) {
         if (!keys.covers(range.keys) || std::erase(range.releasing, life) == 0)
             continue;
@@ -229,7 +247,9 @@
 
 range_map range_map::replace(const life_name& ended, const life_name& successor, fencing_token fence) const
 {
-    auto ranges = m_ranges;
+    if (!names(ended))
+        return *this;
+    auto ranges = this->ranges();
     for (auto& range : ranges) {
         if (std::erase(range.releasing, ended) > 0 && range.releasing.empty())
             range.silenceMs = 0;
@@ -244,7 +264,7 @@
 
 range_map range_map::withUnknownHolder(fencing_token minFence, std::int64_t silenceMs) const
 {
-    auto ranges = m_ranges;
+    auto ranges = this->ranges();
     for (auto& range : ranges) {
         addOnce(range.releasing, unknownHolder);
         range.fence = std::max(range.fence, minFence);
@@ -255,7 +275,7 @@
 
 range_map range_map::releaseAll(key_range keys) const
 {
-    auto ranges = splitAt(m_ranges, keys);
+    auto ranges = splitAt(this->ranges(), keys);
     for (auto& range : ranges) {
         if (!keys.covers(range.keys))
             continue;
@@ -267,9 +287,12 @@
 
 range_map range_map::withSilence(std::int64_t silenceMs) const
 {
-    auto ranges = m_ranges;
+    const auto isUndecided = [](const auto& range) { return !range.releasing.empty() && range.silenceMs == 0; };
+    if (std::ranges::none_of(this->ranges(), isUndecided))
+        return *this;
+    auto ranges = this->ranges();
     for (auto& range : ranges) {
-        if (!range.releasing.empty() && range.silenceMs == 0)
+        if (isUndecided(range))
             range.silenceMs = silenceMs;
     }
     return range_map(std::move(ranges));
@@ -278,7 +301,7 @@
 std::set<life_name> range_map::affectedOwners(const range_map& before) const
 {
     std::set<life_name> lives;
-    for (const auto& range : m_ranges) {
+    for (const auto& range : ranges()) {
         const auto& earlier = before.find(range.keys.first);
         const bool isSame = earlier.owner == range.owner && earlier.fence == range.fence
             && earlier.releasing == range.releasing && earlier.keys.covers(range.keys);
@@ -292,39 +315,99 @@
     return lives;
 }
 
-std::string range_map::toJson() const
+std::vector<owned_range> range_map::changesFrom(const range_map& base) const
 {
-    json list = json::array();
-    life_index lives;
-    for (const auto& range : m_ranges) {
-        json releasing = json::array();
-        for (const auto& life : range.releasing)
-            releasing.push_back(lives.indexOf(life));
-        list.push_back({ range.keys.first, range.keys.last, lives.indexOf(range.owner), range.fence,
-            std::move(releasing), range.handover, range.silenceMs });
+    std::vector<owned_range> out;
+    auto earlier = base.ranges().begin();
+    for (const auto& range : ranges()) {
+        for (key_number first = range.keys.first; first <= range.keys.last;) {
+            while (earlier->keys.last < first)
+                ++earlier;
+            const auto last = std::min(range.keys.last, earlier->keys.last);
+            if (!canMerge(range, *earlier))
+                out.push_back(pieceOf(range, { first, last }));
+            first = last + 1;
+        }
     }
-    return json { { "lives", lives.names() }, { "ranges", std::move(list) } }.dump();
+    return mergeIdentical(std::move(out));
 }
 
+range_map range_map::withChanges(const std::vector<owned_range>& changes) const
+{
+    std::vector<owned_range> out;
+    auto next = ranges().begin();
+    key_number first = 0; // First key that is not in the result yet.
+    const auto keepUntil = [&](key_number end) {
+        while (first < end) {
+            while (next->keys.last < first)
+                ++next;
+            const auto last = std::min(next->keys.last, end - 1);
+            out.push_back(pieceOf(*next, { first, last }));
+            first = last + 1;
+        }
+    };
+    for (const auto& change : changes) {
+        keepUntil(change.keys.first);
+        out.push_back(change);
+        first = change.keys.last + 1;
+    }
+    keepUntil(lastKey + 1);
+    return range_map(std::move(out));
+}
+
+std::string range_map::toJson() const { return rangesToJson(ranges()); }
+
 result<range_map> range_map::fromJson(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(ranges, rangesFromJson(text));
+    key_number next = 0;
+    for (const auto& range : ranges) {
+        if (range.keys.first != next)
+            return notRun(error_code::bad_request, "ranges of a range map must have no gaps");
+        next = range.keys.last + 1;
+    }
+    if (next != lastKey + 1)
+        return notRun(error_code::bad_request, "ranges of a range map must cover all keys");
+    return range_map(std::move(ranges));
+}
+
+std::string rangesToJson(const std::vector<owned_range>& ranges)
+{
+    // Written without a JSON document in memory, which takes several times as long.
+    std::string list;
+    life_index lives;
+    for (const auto& range : ranges) {
+        list.append(list.empty() ? "[" : ",[").append(std::to_string(range.keys.first)).append(",");
+        list.append(std::to_string(range.keys.last)).append(",").append(std::to_string(lives.indexOf(range.owner)));
+        list.append(",").append(std::to_string(range.fence)).append(",[");
+        for (const auto& life : range.releasing) {
+            list.append(list.ends_with('[') ? "" : ",");
+            list.append(std::to_string(lives.indexOf(life)));
+        }
+        list.append("],").append(json(range.handover).dump()).append(",");
+        list.append(std::to_string(range.silenceMs)).append("]");
+    }
+    return R"({"lives":)" + json(lives.names()).dump() + R"(,"ranges":[)" + list + "]}";
+}
+
+result<std::vector<owned_range>> rangesFromJson(std::string_view text)
 {
     BOOST_OUTCOME_TRY(document, parseJson(text, error_code::bad_request));
     const auto list = document.is_object() ? document.find("ranges") : document.end();
-    if (!document.is_object() || list == document.end() || !list->is_array() || list->empty())
+    if (!document.is_object() || list == document.end() || !list->is_array())
         return notRun(error_code::bad_request, "range map without ranges");
     BOOST_OUTCOME_TRY(lives, readLives(document));
     std::vector<owned_range> ranges;
+    ranges.reserve(list->size());
     key_number next = 0;
     for (const auto& value : *list) {
         BOOST_OUTCOME_TRY(range, readRange(value, lives));
-        if (range.keys.first != next || range.keys.last < range.keys.first)
-            return notRun(error_code::bad_request, "ranges of a range map must be ordered and without gaps");
+        if (range.keys.first < next || range.keys.last < range.keys.first)
+            return notRun(error_code::bad_request, "ranges of a range map must be ordered");
         next = range.keys.last + 1;
         ranges.push_back(std::move(range));
     }
-    if (next != lastKey + 1)
-        return notRun(error_code::bad_request, "ranges of a range map must cover all keys");
-    return range_map(std::move(ranges));
+    return ranges;
 }
 
 } // namespace heatherdrift
--- a/src/ranges/range_map.h
+++ b/src/ranges/range_map.h
@@ -3,6 +3,7 @@
 #include "base/failure.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -53,7 +54,8 @@
     bool operator==(const owned_range&) const = default;
 };
 
-/// Owners of all keys of a service, as ordered ranges without gaps. Immutable: modifications return a new map.
+/// Owners of all keys of a service, as ordered ranges without gaps. Immutable: modifications return a new map. Copies
+/// share their ranges and belong to one thread.
 class range_map {
 public:
     /// The planner splits no ranges of a map with this many, so that the map fits into a row of the store.
@@ -62,9 +64,11 @@
     /// Map without owners.
     range_map();
 
-    const std::vector<owned_range>& ranges() const { return m_ranges; }
+    const std::vector<owned_range>& ranges() const { return m_content->ranges; }
     const owned_range& find(key_number) const;
     bool hasOwner(const life_name&) const;
+    /// All owners of keys; contains an empty name if keys have none.
+    const std::set<life_name>& owners() const;
     /// Whether the incarnation owns keys or may still hold some.
     bool names(const life_name&) const;
     /// Whether any key has an owner.
@@ -93,18 +97,35 @@
     /// before it has released the keys.
     range_map withSilence(std::int64_t silenceMs) const;
 
+    /// Ranges with the state in this map of all keys whose state differs in the other one, in order.
+    std::vector<owned_range> changesFrom(const range_map& base) const;
+    /// Replaces the state of all keys in the given ranges, which are in order and do not overlap.
+    range_map withChanges(const std::vector<owned_range>&) const;
+
     /// Current and earlier owners of the ranges that differ from an earlier map.
     std::set<life_name> affectedOwners(const range_map& before) const;
 
     std::string toJson() const;
     static result<range_map> fromJson(std::string_view);
 
-    bool operator==(const range_map&) const = default;
+    bool operator==(const range_map& other) const { return m_content == other.m_content || ranges() == other.ranges(); }
 
 private:
+    struct content {
+        std::vector<owned_range> ranges;
+        /// Derived from the ranges when they are first needed.
+        mutable std::optional<std::set<life_name>> owners;
+        mutable std::optional<std::set<life_name>> named;
+    };
+
     explicit range_map(std::vector<owned_range>);
 
-    std::vector<owned_range> m_ranges;
+    std::shared_ptr<const content> m_content;
 };
 
+/// Text of the ranges, which may leave keys out.
+std::string rangesToJson(const std::vector<owned_range>&);
+/// Fails unless the ranges are in order and do not overlap.
+result<std::vector<owned_range>> rangesFromJson(std::string_view);
+
 } // namespace heatherdrift
