Write messages at once instead of in the next turn of the event loop

Cause: each message was appended to a stream that then asked for writability: two changes of the watched events and one more turn of the loop for each request and each answer, on both hops; and each deferred end of a call waited for a timeout of zero, which is another turn. Change: messages are written to the connected socket at once, the loop writes what does not fit. A timer without delay becomes an active event of the present turn. Up to 64 KB are read or written in a turn instead of 16. Test: KeptConnectionTest.RequestIsWrittenAtOnce fails without the change; the rest of a large request still arrives.

--- a/src/base/internal/event_handle.cpp
+++ b/src/base/internal/event_handle.cpp
@@ -27,6 +27,11 @@
 void timer::startOnce(duration delay)
 {
     m_interval = duration::zero();
+    if (delay <= duration::zero()) {
+        // An active event runs in the present turn of the loop; a timeout of zero takes another system call first.
+        event_del(m_event.get());
+        return event_active(m_event.get(), EV_TIMEOUT, 1);
+    }
     const auto value = toTimeval(delay);
     event_add(m_event.get(), &value);
 }
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -85,6 +85,7 @@
     if (evutil_parse_sockaddr_port(m_peerName.c_str(), reinterpret_cast<sockaddr*>(&storage), &size) != 0)
         return;
     m_stream.reset(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE));
+    raiseTransferSizes(m_stream.get());
     bufferevent_setcb(m_stream.get(), &client_connection::readable, nullptr, &client_connection::changed, this);
     evbuffer_add_cb(bufferevent_get_output(m_stream.get()), &client_connection::outputChanged, this);
     if (bufferevent_socket_connect(m_stream.get(), reinterpret_cast<sockaddr*>(&storage), size) != 0) {
@@ -124,9 +125,10 @@
     if (request.method == "HEAD")
         m_parser.expectNoBody();
     const std::string head = requestHead(request, m_peerName);
+    if (m_isConnected)
+        return sendOutput(m_stream.get(), { head, request.body });
     bufferevent_write(m_stream.get(), head.data(), head.size());
-    if (!request.body.empty())
-        bufferevent_write(m_stream.get(), request.body.data(), request.body.size());
+    bufferevent_write(m_stream.get(), request.body.data(), request.body.size());
 }
 
 void client_connection::watchIdle(std::function<void()> onLost)
@@ -283,8 +285,10 @@
     const int reason = EVUTIL_SOCKET_ERROR();
     auto& self = *static_cast<client_connection*>(argument);
     self.m_connectTimer.stop();
-    if (what & BEV_EVENT_CONNECTED)
+    if (what & BEV_EVENT_CONNECTED) {
+        self.m_isConnected = true;
         return;
+    }
     const bool isOrderly = what & BEV_EVENT_EOF;
     if (isOrderly && self.m_isBusy && !self.m_isInterim) {
         self.m_parser.finish();
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -76,6 +76,7 @@
     std::function<void()> m_onLost;
     time_point m_usableUntil {};
     bool m_isBusy = false;
+    bool m_isConnected = false;
     bool m_hasWritten = false;
     bool m_keepsAlive = true;
     bool m_isInterim = false; ///< The current answer is a 1xx one or belongs to another request.
--- a/src/http/internal/server_connection.cpp
+++ b/src/http/internal/server_connection.cpp
@@ -46,7 +46,8 @@
     bufferevent_setcb(
         m_stream.get(), &server_connection::readable, &server_connection::written, &server_connection::changed, this);
     bufferevent_setwatermark(m_stream.get(), EV_READ, 0, pipelinedBytes);
-    bufferevent_enable(m_stream.get(), EV_READ | EV_WRITE);
+    bufferevent_enable(m_stream.get(), EV_READ);
+    raiseTransferSizes(m_stream.get());
     restartIdleTimer();
 }
 
@@ -85,7 +86,7 @@
         return false;
     if (expectsContinue(m_parser.headers()) && m_exchanges.empty()) {
         static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-        bufferevent_write(m_stream.get(), interim.data(), interim.size());
+        sendOutput(m_stream.get(), { interim });
     }
     return true;
 }
@@ -175,9 +176,13 @@
         if (isLast)
             m_isReading = false;
         const std::string output = exchange->takeOutput(isLast);
-        bufferevent_write(m_stream.get(), output.data(), output.size());
-        if (!exchange->isFinished())
+        sendOutput(m_stream.get(), { output });
+        if (!exchange->isFinished()) {
+            // The handler is told that the output is written after it has returned.
+            if (bufferedBytes() == 0)
+                bufferevent_trigger(m_stream.get(), EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
             break;
+        }
         m_exchanges.pop_front();
         exchange->detach();
         if (isLast)
--- a/src/http/internal/stream.cpp
+++ b/src/http/internal/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <event2/event.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -9,6 +10,8 @@
 
 namespace {
 
+    constexpr std::size_t maxTransferBytes = 64 * 1024; ///< Read or written in one turn of the event loop.
+
     endpoint addressOf(int descriptor, int (*read)(int, sockaddr*, socklen_t*))
     {
         sockaddr_storage storage {};
@@ -57,6 +60,31 @@
 
 endpoint remoteAddress(int descriptor) { return addressOf(descriptor, &getpeername); }
 
+void raiseTransferSizes(bufferevent* stream)
+{
+    bufferevent_set_max_single_read(stream, maxTransferBytes);
+    bufferevent_set_max_single_write(stream, maxTransferBytes);
+}
+
+void sendOutput(bufferevent* stream, std::initializer_list<std::string_view> parts)
+{
+    auto* output = bufferevent_get_output(stream);
+    const bool isWaiting = evbuffer_get_length(output) > 0;
+    if (!isWaiting)
+        bufferevent_disable(stream, EV_WRITE);
+    for (const auto part : parts)
+        evbuffer_add(output, part.data(), part.size());
+    if (isWaiting || evbuffer_get_length(output) == 0)
+        return;
+    // The stream keeps others from reading its output.
+    evbuffer_unfreeze(output, 1);
+    evbuffer_write(output, bufferevent_getfd(stream));
+    evbuffer_freeze(output, 1);
+    // After a failure the stream repeats the write and reports it.
+    if (evbuffer_get_length(output) > 0)
+        bufferevent_enable(stream, EV_WRITE);
+}
+
 std::string_view firstPiece(evbuffer* buffer)
 {
     const std::size_t size = evbuffer_get_contiguous_space(buffer);
--- a/src/http/internal/stream.h
+++ b/src/http/internal/stream.h
@@ -4,6 +4,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <initializer_list>
 #include <memory>
 #include <string_view>
 
@@ -25,6 +26,11 @@
 endpoint localAddress(int descriptor);
 /// Address of the other side of a connection.
 endpoint remoteAddress(int descriptor);
+/// Lets a turn of the event loop read and write more bytes than by default.
+void raiseTransferSizes(bufferevent*);
+/// Appends the parts to the output of a connected stream and writes what the socket takes at once; the event loop
+/// writes the rest. Without it, each message takes two changes of the watched events and another turn of the loop.
+void sendOutput(bufferevent*, std::initializer_list<std::string_view> parts);
 /// Bytes of the buffer that lie in one piece at its start.
 std::string_view firstPiece(evbuffer*);
 
--- a/src/http/tests/kept_connection_test.cpp
+++ b/src/http/tests/kept_connection_test.cpp
@@ -130,6 +130,37 @@
         EXPECT_TRUE(answer->has_value());
     }
 
+    // Guards against requests that are written only in the next turn of the event loop, after a change of the watched
+    // events and before another one. System calls and wake-ups are a large part of a node's work.
+    TEST_F(KeptConnectionTest, RequestIsWrittenAtOnce)
+    {
+        const int peer = keepConnection();
+        start();
+        EXPECT_NE(readArrived(peer), "");
+        write(peer, success);
+        runUntilAnswered();
+        EXPECT_TRUE(answer->has_value());
+    }
+
+    // Guards against the loss of the part of a request that the socket does not take at once.
+    TEST_F(KeptConnectionTest, RequestLargerThanTheSocketBufferIsWrittenWhole)
+    {
+        const int peer = keepConnection();
+        const std::string body(16u << 20, 'b');
+        fetch(*client, { "POST", "/", {}, body }, test_loop::farDeadline(), 1 << 20,
+            [this](result<http_response> value) { answer = std::move(value); });
+        answer.reset();
+        std::string seen;
+        while (!seen.ends_with("bb") || seen.size() < body.size()) {
+            loop.runReady();
+            seen += readArrived(peer);
+        }
+        EXPECT_TRUE(seen.ends_with("\r\n\r\n" + body));
+        write(peer, success);
+        runUntilAnswered();
+        EXPECT_TRUE(answer->has_value());
+    }
+
     // Guards against a request whose answer is never read: the call before it paused reading with its last bytes.
     TEST_F(KeptConnectionTest, ConnectionPausedAtTheEndOfAnAnswerIsReadAgain)
     {
