Let one node remove the row of a lost node

Cause: each node that misses a lost one, or finds another node at its address, removes its row from the store at once. Grows with nodes times losses. Change: a node forgets a lost one at once, as before, and removes the row after a random delay of at most 40 ms per node, unless the news of a removal, or a new row of the node, arrives first. Tests: RemovalDelay (few of 3 to 690 nodes write before they learn of the first removal) and two of the registry. TwoRowsWithOneAddressAreProbed now awaits the write, which came at once; what is written is checked as before.

--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -1,5 +1,6 @@
 #include "mesh/internal/member_registry.h"
 
+#include "base/hash.h"
 #include "telemetry/log_event.h"
 
 #include <algorithm>
@@ -14,6 +15,10 @@
     constexpr auto writeBackoff = std::chrono::milliseconds(300);
     constexpr auto firstHeartbeatTimeout = std::chrono::seconds(3); ///< Three usual heartbeat intervals.
 
+    /// News of a removal reach the other nodes in about ten times this time.
+    constexpr auto removalDelayPerNode = std::chrono::milliseconds(40);
+    constexpr auto maxRemovalDelay = std::chrono::seconds(8);
+
     /// Whether a restored row may be older than what is known of the same node. A life never ends its drain, and lives
     /// of one node follow each other.
     bool mayBeOlder(const mesh_member& row, const mesh_member& known)
@@ -39,6 +44,8 @@
     , m_probe(std::move(probe))
     , m_publishDueAt(boot_clock::now() + firstHeartbeatTimeout)
     , m_publishRetry(base, [this] { publish(); })
+    , m_random(seededRandom(hashBytes(settings.node)))
+    , m_removalTimer(base, [this] { writeDueRemovals(); })
 {
 }
 
@@ -58,6 +65,8 @@
         m_ownRowVersion = row.version;
         return ownRowChanged(row);
     }
+    // Another node has removed the row, or the node has written it again.
+    m_removalsDueAt.erase(node);
     if (!row.value) {
         m_outdatedRows.erase(node);
         return m_directory.remove(node);
@@ -175,13 +184,49 @@
     removeLost(node);
 }
 
+duration removalDelay(std::size_t nodes, double random)
+{
+    const auto spread = std::min<duration>(removalDelayPerNode * nodes, maxRemovalDelay);
+    return std::chrono::duration_cast<duration>(spread * random);
+}
+
 void member_registry::removeLost(const instance_id& node)
+{
+    const auto delay = removalDelay(m_directory.peers().size(), m_random());
+    m_removalsDueAt.try_emplace(node, boot_clock::now() + delay);
+    m_directory.remove(node);
+    scheduleRemovals();
+}
+
+void member_registry::scheduleRemovals()
+{
+    if (m_removalsDueAt.empty())
+        return m_removalTimer.stop();
+    const auto next = std::ranges::min_element(m_removalsDueAt, {}, [](const auto& entry) { return entry.second; });
+    m_removalTimer.startAt(next->second);
+}
+
+void member_registry::writeDueRemovals()
+{
+    const auto now = boot_clock::now();
+    std::vector<instance_id> due;
+    for (const auto& [node, at] : m_removalsDueAt) {
+        if (at <= now)
+            due.push_back(node);
+    }
+    for (const auto& node : due) {
+        m_removalsDueAt.erase(node);
+        writeRemoval(node);
+    }
+    scheduleRemovals();
+}
+
+void member_registry::writeRemoval(const instance_id& node)
 {
     logEvent(log_event::member_removed, { { "node", node } });
     conditional_write change;
     change.changes.push_back({ { table, node }, 0, std::nullopt });
     change.changes.push_back({ { table, lastRemovalKey }, 0, node });
-    m_directory.remove(node);
     m_store.write(std::move(change), boot_clock::now() + writeTimeout, [node](const result<write_outcome>& outcome) {
         // If the write failed, the next read of the table adds the node again.
         if (outcome.has_error())
--- a/src/mesh/internal/member_registry.h
+++ b/src/mesh/internal/member_registry.h
@@ -32,6 +32,7 @@
     void onPresumedLifeEnded();
     /// Called when another node listens at the node's address, so that its instance and backend server are gone.
     void onNodeReplaced(const instance_id&);
+    /// Forgets a node and removes its row from the store, unless another node removes it first.
     void removeLost(const instance_id&);
 
     static constexpr const char* table = "heatherdrift-members"; ///< Keyed by instance.
@@ -43,6 +44,9 @@
     void checkAddress(const mesh_member&);
     void logOutdated(const row_change&) const;
     mesh_member ownMember() const;
+    void scheduleRemovals();
+    void writeDueRemovals();
+    void writeRemoval(const instance_id&);
 
     const mesh_settings& m_settings;
     watched_store& m_store;
@@ -61,6 +65,13 @@
     bool m_isPublishing = false;
     time_point m_publishDueAt {}; ///< From this time on the row is written even without a heartbeat.
     timer m_publishRetry;
+    std::map<instance_id, time_point> m_removalsDueAt; ///< Nodes whose rows this node is going to remove.
+    random_function m_random;
+    timer m_removalTimer;
 };
 
+/// Delay before a node removes the row of a lost one, for a random number in [0, 1). All nodes miss a lost one within
+/// moments; only the first of them should write, and the others see its write before their own is due.
+duration removalDelay(std::size_t nodes, double random);
+
 } // namespace heatherdrift
--- a/src/mesh/tests/member_registry_test.cpp
+++ b/src/mesh/tests/member_registry_test.cpp
@@ -99,6 +99,56 @@
         std::unique_ptr<http_server> server;
     };
 
+    // Guards against a removal that each node writes: the loss of an instance among 84 led to 242 writes in a second,
+    // beside which owners could not renew their keys.
+    TEST_F(MemberRegistryTest, RowThatAnotherNodeRemovesIsNotRemovedAgain)
+    {
+        for (int i = 2; i < 20; ++i)
+            registry.onRowChanged(row(member("n" + std::to_string(i), 2, "i2@7"), 50 + i));
+        registry.removeLost("n2");
+        EXPECT_EQ(directory.find("n2"), nullptr);
+        EXPECT_TRUE(store.writes.empty());
+        registry.onRowChanged(missing("n2", 400));
+        registry.removeLost("n3");
+        loop.runUntil([this] { return !store.writes.empty(); });
+        ASSERT_EQ(store.writes.size(), 1u);
+        EXPECT_EQ(store.writes[0].changes.at(0).key.key, "n3");
+    }
+
+    // Guards against the removal of the row of a node that was found again before.
+    TEST_F(MemberRegistryTest, RowThatIsWrittenAgainIsNotRemoved)
+    {
+        registry.onRowChanged(row(member("n2", 2, "i2@7"), 50));
+        registry.onRowChanged(row(member("n3", 3, "i3@7"), 51));
+        registry.removeLost("n2");
+        registry.onRowChanged(row(member("n2", 2, "i2@8"), 60));
+        registry.removeLost("n3");
+        loop.runUntil([this] { return !store.writes.empty(); });
+        for (int i = 0; i < 20; ++i)
+            loop.runReady();
+        ASSERT_EQ(store.writes.size(), 1u);
+        EXPECT_EQ(store.writes[0].changes.at(0).key.key, "n3");
+        EXPECT_NE(directory.find("n2"), nullptr);
+    }
+
+    // Guards against removals by all nodes of a large mesh that miss a lost one at the same moment, and against a row
+    // that stays for long where only one node misses it.
+    TEST(RemovalDelay, FewNodesWriteBeforeTheyLearnOfTheFirstRemoval)
+    {
+        const auto newsTime = std::chrono::milliseconds(400);
+        for (const std::size_t nodes : { 3u, 14u, 84u, 195u, 690u }) {
+            const auto random = seededRandom(nodes);
+            std::vector<duration> delays;
+            for (std::size_t i = 0; i < nodes; ++i)
+                delays.push_back(removalDelay(nodes, random()));
+            const auto first = *std::ranges::min_element(delays);
+            const auto writers
+                = std::ranges::count_if(delays, [&](duration delay) { return delay < first + newsTime; });
+            EXPECT_LE(writers, nodes > 200 ? 60 : 20) << nodes;
+            EXPECT_LE(*std::ranges::max_element(delays), std::chrono::seconds(8)) << nodes;
+        }
+    }
+
     // Guards against a node that gets no more requests because the restored store has lost its row.
     TEST_F(MemberRegistryTest, NodeWhoseRowWasLostByARestoreStaysKnown)
     {
@@ -250,6 +300,7 @@
         EXPECT_NE(directory.find("n3"), nullptr);
         EXPECT_EQ(probed, (std::vector<instance_id> { "n2", "n3" }));
         registry.onNodeReplaced("n3"); // The answer to the probe came from another node.
+        loop.runUntil([this] { return !store.writes.empty(); });
         ASSERT_EQ(store.writes.size(), 1u);
         EXPECT_TRUE(removes(store.writes[0], "n3"));
         EXPECT_EQ(directory.find("n3"), nullptr);
