Spare calls to the store when owners change

A backend server that becomes an owner has no confirmation, takes this for an outage and asks all 91 other owners, and each of them checks at the store. The keys moved because the first map was written when 48 of 92 backend servers were known. Ruled out: the confirming owner answered its questions; it made 15 of the checks. An owner that is asked by one without confirmation passes on its own if it is not older than the age at which owners check themselves. The first map of a new system awaits a time without a newcomer, at most 5 s. Owners repeat the watch of the map after 60 s, since each confirmation brings changes anyway.

--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -30,7 +30,7 @@
         std::chrono::milliseconds(4000), std::chrono::milliseconds(3000), std::chrono::milliseconds(1500) };
     /// Changes of the map are pushed to the affected nodes, and other owners get them from the owner that checks the
     /// map each second.
-    constexpr watch_timing rangeTiming { std::chrono::seconds(20), std::chrono::seconds(15), {}, {},
+    constexpr watch_timing rangeTiming { std::chrono::seconds(20), std::chrono::seconds(60), {}, {},
         std::chrono::milliseconds(1500) };
     constexpr auto maxLoadAge = std::chrono::seconds(2); ///< Older loads are not used to place hot keys.
     constexpr auto stopPollInterval = std::chrono::milliseconds(50);
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -52,6 +52,8 @@
     }
     if (version != m_version)
         m_history.add({ version, map });
+    if (!m_map.hasOwner(life()) && map.hasOwner(life()))
+        m_ownerSince = now;
     m_version = version;
     m_map = map;
     for (const auto& range : map.ranges())
@@ -214,6 +216,19 @@
     return out;
 }
 
+time_point ownership::firstMapOfSystemDueAt(std::size_t candidates, time_point now)
+{
+    const auto heartbeats
+        = [this](double count) { return std::chrono::duration_cast<duration>(m_settings.heartbeatInterval * count); };
+    if (candidates > m_mostCandidates) {
+        m_mostCandidates = candidates;
+        m_newcomerSeenAt = now;
+    }
+    const auto complete = std::max(
+        m_startedAt + heartbeats(heartbeatsBeforeFirstMap), m_newcomerSeenAt + heartbeats(heartbeatsWithoutNewcomer));
+    return std::min<time_point>(complete, m_startedAt + maxFirstMapDelay);
+}
+
 range_map ownership::coordinate(const range_map& map, time_point now)
 {
     const auto candidates = m_hooks.candidates();
@@ -236,9 +251,7 @@
     if (m_version > 0)
         due = std::max(due + (isOwner ? orphanGracePeriod : nonOwnerTakeoverDelay), m_eraNotedAt + startupGracePeriod);
     else if (m_settings.isFirstStart)
-        due = std::max(due,
-            m_startedAt + std::chrono::duration_cast<duration>(m_settings.heartbeatInterval * heartbeatsBeforeFirstMap)
-                + rank * coordinatorStep);
+        due = std::max(due, firstMapOfSystemDueAt(candidates.size(), now) + rank * coordinatorStep);
     else
         due = std::max(due, m_eraNotedAt + startupGracePeriod);
     if (now < due)
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -124,6 +124,9 @@
     fencing_token nextFence() const;
     range_map forHolds(const range_map&) const;
     time_point firstMapDueAt() const;
+    /// Time at which all backend servers of a system that starts for the first time should be known. An earlier map
+    /// leaves those out that are announced later, and balancing has to move keys to them under load.
+    time_point firstMapOfSystemDueAt(std::size_t candidates, time_point now);
     std::optional<range_map> firstMapOfEra(time_point now);
     bool isFirstOwner() const;
     void adopt(const range_map&, row_version, std::optional<time_point> readAt);
@@ -189,6 +192,9 @@
     time_point m_extensionDueAt = time_point::min();
     time_point m_confirmDueAt = time_point::min();
     time_point m_mayWriteAt = time_point::min(); ///< Backoff after a failed or conflicting write.
+    std::size_t m_mostCandidates = 0; ///< Until the first map of a new system.
+    time_point m_newcomerSeenAt = time_point::min(); ///< Time at which that number was reached.
+    time_point m_ownerSince {}; ///< Time since which the map has this node's backend server as an owner.
     time_point m_orphanedSince = time_point::max(); ///< Time since which some keys have had no live owner.
     random_function m_random;
     timer m_tick;
--- a/src/mesh/internal/ownership_confirmation.cpp
+++ b/src/mesh/internal/ownership_confirmation.cpp
@@ -12,7 +12,8 @@
         return;
     // A write of this node that may still take effect would invalidate the promises of the others. One of an earlier
     // era only changes a row that is no longer in use.
-    const auto age = now - m_holdManager.confirmedAt();
+    // A new owner has no confirmation yet and asks for one like the others.
+    const auto age = now - std::max(m_holdManager.confirmedAt(), m_ownerSince);
     const bool mayAsk = isMapOutdated() || m_unresolvedVersion != m_version;
     if (now >= m_extensionDueAt && mayAsk && age > extensionAge) {
         m_extensionDueAt = now + extensionInterval;
@@ -74,8 +75,10 @@
 
 void ownership::onConfirmed(time_point at)
 {
-    if (!isMapOutdated())
-        m_holdManager.confirm(m_map, at);
+    if (isMapOutdated())
+        return;
+    recordCheck(m_version, at);
+    m_holdManager.confirm(m_map, at);
 }
 
 void ownership::onPromised(time_point askedAt)
@@ -88,8 +91,11 @@
 {
     if (m_checkedAt == time_point::min() || m_checkedVersion != m_version || isMapOutdated())
         return std::nullopt;
+    // Only an owner that has missed its own confirmation asks others than the first one. Their last confirmation is new
+    // enough for it; a check by each of them would cost one call to the store per owner.
+    const duration maxAge = isFirstOwner() ? duration(maxSharedCheckAge) : duration(ownCheckAge);
     const auto age = m_hooks.now() - m_checkedAt;
-    return age <= maxSharedCheckAge ? std::optional<duration>(age) : std::nullopt;
+    return age <= maxAge ? std::optional<duration>(age) : std::nullopt;
 }
 
 void ownership::handleConfirmation(const map_question& question, statement_function done)
--- a/src/mesh/internal/ownership_timing.h
+++ b/src/mesh/internal/ownership_timing.h
@@ -54,6 +54,10 @@
 /// second, so that their writes seldom conflict.
 inline constexpr auto exclusiveReleaseInterval = std::chrono::milliseconds(20);
 inline constexpr auto minExclusiveReleaseSpread = std::chrono::milliseconds(1000);
+/// Without a new backend server for this many heartbeat intervals, all of a new system have announced themselves.
+inline constexpr double heartbeatsWithoutNewcomer = 1.3;
+inline constexpr auto maxFirstMapDelay
+    = std::chrono::seconds(5); ///< A system that starts slowly serves the first ones.
 inline constexpr std::size_t maxEndedLives = 64; ///< Far more than can end while a map change is in progress.
 inline constexpr std::size_t maxSeenAssignments = 4096;
 
