Spare calls to the store of nodes that have just started

Each of them counts as the only node until it has heard of the others, and watches both tables at once; a reader also follows each read by a short watch that shows the same again. Change: a node that knows no others pauses for a second between its requests; a read counts as current by itself. Tests: WatchSchedule.NodeThatKnowsNoOthersPausesForASecond, TableWatcherTest.ReadIsNotConfirmedByAShortWatch; both fail without the change.

--- a/src/mesh/internal/table_watcher.cpp
+++ b/src/mesh/internal/table_watcher.cpp
@@ -71,7 +71,8 @@
         notifyRows(m_copy.replace(snapshot.value()), isOtherEra);
         if (m_hooks.onRead)
             m_hooks.onRead();
-        handleAnswer(!snapshot.value().rows.empty(), now);
+        // Unlike a watch, which may wait, a read shows the table at the time of the request or later.
+        handleAnswer(false, now);
     });
 }
 
--- a/src/mesh/internal/watch_schedule.cpp
+++ b/src/mesh/internal/watch_schedule.cpp
@@ -16,6 +16,8 @@
     constexpr auto shortWait = std::chrono::milliseconds(50);
     /// Longer wait of a node that sees no others, as all nodes do when a new system starts.
     constexpr int singleNodeFactor = 5;
+    /// All nodes of a new system learn of each other within this time, so that most need not ask again.
+    constexpr auto singleNodePause = std::chrono::milliseconds(1000);
     constexpr auto maxWait = std::chrono::seconds(20); ///< Stores end longer waits themselves.
     /// Spreads the requests of nodes that lost their readers: the first responses reach the other nodes in this time.
     constexpr auto maxAgeJitter = std::chrono::milliseconds(250);
@@ -51,7 +53,8 @@
     const auto at = state.answeredAt + timing.batchTime;
     // No other node depends on the copy of a single node, so it need not confirm often that nothing has changed.
     if (state.place.nodes == 1)
-        return { at, std::min<duration>(timing.readerWait * singleNodeFactor, maxWait) };
+        return { std::max<time_point>(at, state.answeredAt + singleNodePause),
+            std::min<duration>(timing.readerWait * singleNodeFactor, maxWait) };
     return { at, state.hasChanges ? duration(shortWait) : timing.readerWait };
 }
 
--- a/src/mesh/tests/table_watcher_test.cpp
+++ b/src/mesh/tests/table_watcher_test.cpp
@@ -15,16 +15,18 @@
             reads.push_back(std::move(done));
         }
         void write(conditional_write, time_point, std::function<void(result<write_outcome>)>) override { }
-        void watch(std::string, row_version after, duration, time_point,
+        void watch(std::string, row_version after, duration wait, time_point,
             std::function<void(result<row_snapshot>)> done) override
         {
             watchedAfter = after;
+            watchWait = wait;
             watches.push_back(std::move(done));
         }
 
         std::deque<std::function<void(result<row_snapshot>)>> reads;
         std::deque<std::function<void(result<row_snapshot>)>> watches;
         row_version watchedAfter = 0;
+        duration watchWait {};
         time_point readDeadline {};
     };
 
@@ -97,6 +99,18 @@
         }
     }
 
+    // Guards against a second call to the store after each read, to learn what the read has shown already.
+    TEST_F(TableWatcherTest, ReadIsNotConfirmedByAShortWatch)
+    {
+        rank = 1;
+        answerRead(row_snapshot { { row("a", 4) }, 5 });
+        waitForWatch();
+        EXPECT_GE(store.watchWait, timing().readerWait);
+        answerWatch(row_snapshot { { row("a", 6) }, 6 });
+        waitForWatch();
+        EXPECT_LT(store.watchWait, timing().readerWait) << "when the store sent the change is not known";
+    }
+
     // Guards against a row that reverts to an older version or is reported twice.
     TEST_F(TableWatcherTest, OlderVersionsOfARowAreNotReported)
     {
--- a/src/mesh/tests/watch_schedule_test.cpp
+++ b/src/mesh/tests/watch_schedule_test.cpp
@@ -181,6 +181,20 @@
         EXPECT_LE(fleet.maxAge(), milliseconds(2000));
     }
 
+    // Guards against a call to the store by each node of a new system before it has heard of the others, and against
+    // changes that reach a node without others late.
+    TEST(WatchSchedule, NodeThatKnowsNoOthersPausesForASecond)
+    {
+        const watch_timing timing;
+        const watch_state state { { 0, 1 }, start, start };
+        const auto alone = nextRequest(timing, state, 0);
+        EXPECT_GE(alone.at, start + milliseconds(900));
+        EXPECT_LE(alone.at, start + milliseconds(1100));
+        EXPECT_GT(alone.wait, timing.readerWait);
+        EXPECT_EQ(nextRequest(timing, { { 0, 2 }, start, start }, 0).at, start);
+        EXPECT_GT(nextRequest(timing, { { 80, 90 }, start, start }, 0).at, start + milliseconds(1100));
+    }
+
     // Guards against a reader that replaces its copy only after its usual wait, up to 15 s, and against reads of all
     // nodes at the moment of a restore.
     TEST(WatchSchedule, ReadersReplaceARestoredTableAtOnce)
