Refuse requests at a stopping gate that may outlast its process

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end. The entry refuses requests with a deadline after the end of the process. The gate accepted those of other nodes for 2.3 s whatever their deadline, so that a route with a time-out above the rest of the grace could be cut. Change: the gate refuses them at once as not run, and the entry node tries another one. Test: RequestPathTest.GateOfAStoppingNodeRefusesRequestsWithLaterDeadlines fails without the change.

--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -95,7 +95,7 @@
 request_number gate_service::execute(routed_request request, answer_function onAnswer, duration deliveryTime)
 {
     const request_number id = ++m_lastNumber;
-    if (m_isStopping) {
+    if (m_isStopping || request.deadline > m_endsAt) {
         onAnswer(refusal(error_code::draining));
         return id;
     }
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -59,6 +59,8 @@
     void closeAt(time_point);
     /// Refuses new requests as not run from now on; queued and running ones continue.
     void stopAccepting() { m_isStopping = true; }
+    /// The process ends at this time: requests that may last longer are refused, since they would be cut.
+    void endAt(time_point at) { m_endsAt = at; }
     bool isDraining() const { return m_isStopping || m_closesAt != time_point::max(); }
     /// Called when results of keyAccess may have changed.
     void onKeysChanged();
@@ -95,6 +97,7 @@
     gate_hooks m_hooks;
     gate_backend m_backend;
     time_point m_closesAt = time_point::max();
+    time_point m_endsAt = time_point::max();
     bool m_isStopping = false;
     std::unique_ptr<http_client> m_client;
     slot_queue m_queue;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -189,6 +189,7 @@
             m_endsAt = now + m_settings.stopTime - stopMargin;
             m_entryServer->closeAfterAnswers();
             m_entry.endAt(m_endsAt);
+            m_gate.endAt(m_endsAt);
             m_stopPoll.startRepeating(stopPollInterval);
         }
 
--- a/src/mesh/tests/request_path_test.cpp
+++ b/src/mesh/tests/request_path_test.cpp
@@ -212,6 +212,19 @@
         EXPECT_EQ(arrivals, 1);
     }
 
+    // Guards against requests of other nodes that a stopping node passes on late and cuts when its process ends, among
+    // them those that may not be repeated.
+    TEST_F(RequestPathTest, GateOfAStoppingNodeRefusesRequestsWithLaterDeadlines)
+    {
+        configure(false);
+        gate->endAt(boot_clock::now() + seconds(1));
+        EXPECT_EQ(fetch(4000).head.status, 503);
+        EXPECT_EQ(arrivals, 0);
+        gate->endAt(boot_clock::now() + seconds(60));
+        EXPECT_EQ(fetch(4000).head.status, 200);
+        EXPECT_EQ(arrivals, 1);
+    }
+
     // Guards against running a request whose caller has disconnected; its connection to the backend server is closed.
     TEST_F(RequestPathTest, DisconnectOfTheCallerCancelsItsRequest)
     {
