--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -39,6 +39,7 @@
     constexpr auto stopMargin = std::chrono::milliseconds(500); ///< Before the process would be killed.
     constexpr http_server_limits forwardLimits { 64 * 1024, 64u << 20, 120, 1 };
     constexpr int statusNotFound = 404;
+    constexpr int statusUnavailable = 503;
     constexpr std::size_t pipelineDepth = 16; ///< Concurrent requests per caller connection.
 
     class mesh_node_impl : public mesh_node {
@@ -314,15 +315,21 @@
             if (exchange->request().target == range_replicas::target && exchange->request().method == "PUT")
                 return m_ownerExchange.handlePushedMap(exchange);
             if (exchange->request().target == range_replicas::target)
-                return exchange->respond({ { 200, {} },
-                    m_ownership.encodedMap(
-                        range_history::statedBase(exchange->request().headers.find(rangeBaseHeader))) });
+                return handleMapRequest(exchange);
             auto request = decodeForward(exchange->request(), boot_clock::now());
             if (request.has_error())
                 return exchange->respond({ { 400, {} }, "" });
             execute(exchange, std::move(request).value());
         }
 
+        void handleMapRequest(const http_exchange_ptr& exchange)
+        {
+            if (m_ownership.version() == 0)
+                return exchange->respond({ { statusUnavailable, {} }, "" });
+            const auto base = range_history::statedBase(exchange->request().headers.find(rangeBaseHeader));
+            exchange->respond({ { 200, {} }, m_ownership.encodedMap(base) });
+        }
+
         /// Runs a request of another node through the gate.
         void execute(const http_exchange_ptr& exchange, routed_request request)
         {
