Answer before the deadline when a retry would come after it

Their keys had no owner, since nodes restarted while the store was away; a gate refused them 20 to 60 ms before the deadline, and the entry node scheduled a retry 60 ms later, after the deadline. The log says request_abandoned, between_attempts, -8 ms left. Ruled out: an answer lost on the way; none was sent. Change: a retry that cannot be answered in time is not awaited, and the caller gets the refusal, which is true. Tests: RetryTime.NoRetryIsAwaitedBeyondTheDeadline; RequestPathTest keeps the retries within the deadline.

--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -1,5 +1,7 @@
 #include "mesh/internal/entry_call.h"
 
+#include "mesh/internal/retry_time.h"
+
 #include <algorithm>
 
 namespace heatherdrift {
@@ -10,11 +12,9 @@
     /// A gate responds at the deadline at the latest; this much later its node counts as unresponsive.
     constexpr auto gateSlack = std::chrono::milliseconds(100);
     constexpr int maxRefusals = 4; ///< Refusals by gates before the caller gets a Retry-After response.
-    constexpr auto retryInterval = std::chrono::milliseconds(60); ///< While an owner's node restarts or keys move.
     /// A node returns its range map within milliseconds; later responses are not awaited.
     constexpr auto mapWaitTimeout = std::chrono::milliseconds(300);
     constexpr auto mapPollInterval = std::chrono::milliseconds(5);
-    constexpr auto minTimeForRetry = std::chrono::milliseconds(20);
     constexpr auto minRetryAfter = std::chrono::milliseconds(20);
     constexpr auto retryAfterNoServer = std::chrono::milliseconds(300);
     constexpr int statusBadGateway = 502;
@@ -86,7 +86,7 @@
     if (m_isDone)
         return;
     const auto now = boot_clock::now();
-    if (now + minTimeForRetry >= m_request.deadline) {
+    if (!retry_time::isInTime(now, m_request.deadline)) {
         if (m_lastAnswer)
             return fail(*m_lastAnswer);
         return refuse(retryAfterNoServer);
@@ -179,9 +179,17 @@
     m_context.directory.view(m_request.service).onCallFinished(m_attempt->node, seen, now);
 }
 
+duration entry_call::retryDelay(const gate_answer& answer) const
+{
+    // Only the owner can run a request for a key. The first retry goes to the owner in a newer map at once.
+    const bool needsDelay = m_request.key && answer.outcome == verdict::not_run && m_refusals > 1;
+    return needsDelay ? duration(retry_time::interval) : duration();
+}
+
 bool entry_call::shouldRetry(const gate_answer& answer, time_point now)
 {
-    if (now + minTimeForRetry >= m_request.deadline)
+    // Otherwise the caller's deadline would pass before it gets any answer.
+    if (!retry_time::isInTime(now + retryDelay(answer), m_request.deadline))
         return false;
     if (answer.outcome == verdict::not_run && !answer.reachedBackend) {
         // Only the owner of a key can run the request, so its overload refusal is final.
@@ -225,8 +233,7 @@
     m_tried.push_back(node);
     if (!isRetried)
         return fail(*m_lastAnswer);
-    const bool needsDelay = m_request.key && m_lastAnswer->outcome == verdict::not_run;
-    scheduleRetry(needsDelay && m_refusals > 1 ? duration(retryInterval) : duration());
+    scheduleRetry(retryDelay(*m_lastAnswer));
 }
 
 void entry_call::scheduleRetry(duration delay) { m_retry.startOnce(delay); }
--- a/src/mesh/internal/entry_call.h
+++ b/src/mesh/internal/entry_call.h
@@ -28,6 +28,7 @@
     void handleResponse(result<http_response>);
     void handleAnswer(gate_answer);
     void observe(const gate_answer&, time_point now);
+    duration retryDelay(const gate_answer&) const;
     bool shouldRetry(const gate_answer&, time_point now);
     void scheduleRetry(duration);
     void respond(http_response);
--- a/src/mesh/tests/request_path_test.cpp
+++ b/src/mesh/tests/request_path_test.cpp
@@ -1,5 +1,6 @@
 #include "http/tests/test_loop.h"
 #include "mesh/internal/entry_service.h"
+#include "mesh/internal/retry_time.h"
 #include "mesh/tests/test_port.h"
 
 #include <climits>
@@ -225,6 +226,27 @@
         EXPECT_EQ(arrivals, 1);
     }
 
+    // Guards against a retry that is scheduled for a time after the caller's deadline: while the keys of a restarted
+    // node had no owner, hundreds of callers got no answer instead of a true refusal.
+    TEST(RetryTime, NoRetryIsAwaitedBeyondTheDeadline)
+    {
+        const time_point now { seconds(100) };
+        const auto next = now + retry_time::interval;
+        EXPECT_TRUE(retry_time::isInTime(next, next + milliseconds(21)));
+        EXPECT_FALSE(retry_time::isInTime(next, next + milliseconds(20)));
+        EXPECT_FALSE(retry_time::isInTime(next, now + milliseconds(30)));
+    }
+
+    // Guards against a refusal that takes the place of a retry for which there is time.
+    TEST_F(RequestPathTest, KeyWithoutAnOwnerIsRetriedWithinTheDeadline)
+    {
+        configure(true, true);
+        access = key_access::refuse;
+        EXPECT_EQ(fetch(60'000).head.status, 503);
+        EXPECT_GE(mapLookups, 4);
+        EXPECT_EQ(arrivals, 0);
+    }
+
     // Guards against running a request whose caller has disconnected; its connection to the backend server is closed.
     TEST_F(RequestPathTest, DisconnectOfTheCallerCancelsItsRequest)
     {
