Remember the departure of a backend server that was not announced yet

A late heartbeat at 25.50 s counted as that of a new one, and requests were sent to it at 25.68 s, 2.3 s after the acknowledgement (bound 2 s). Change: a departure without a known backend server is remembered for 60 s. The first life announced with its id is leaving since then, its row is not adopted, and the gate of one that is known from its row closes. Tests: three of MemberRegistryTest, which fail without the change.

--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -13,6 +13,8 @@
     constexpr auto maxAnswerDelay = std::chrono::milliseconds(500);
     /// Time for a request sent at the end of the drain time to reach the backend server.
     constexpr auto drainMargin = std::chrono::milliseconds(100);
+    /// Heartbeats sent before a departure may arrive seconds late.
+    constexpr auto departureMemory = std::chrono::seconds(60);
 
 } // namespace
 
@@ -57,19 +59,39 @@
     m_current = announcement;
     m_hasEnded = false;
     m_gate.setBackend({ announcement.life(), announcement.id, announcement.slots });
-    if (announcement.isDraining)
+    const bool isLateHeartbeat = isNewLife && hasDeparted(announcement.id);
+    if (isLateHeartbeat)
+        m_gate.closeAt(m_earlyDeparture->closesAt);
+    if (isNewLife)
+        m_earlyDeparture.reset();
+    if (announcement.isDraining || isLateHeartbeat)
         startLeaving();
 }
 
+bool announcement_service::hasDeparted(const std::string& id) const
+{
+    return m_earlyDeparture && m_earlyDeparture->id == id
+        && boot_clock::now() < m_earlyDeparture->closesAt + departureMemory;
+}
+
+void announcement_service::handleDeparture(const std::string& id)
+{
+    if (m_current && m_current->id == id) {
+        startLeaving();
+        return m_onChanged();
+    }
+    // The acknowledgement binds this process as well if it has started after the last heartbeat.
+    m_earlyDeparture = { id, boot_clock::now() + m_settings.drainTime - drainMargin };
+    if (m_gate.backend().id == id)
+        m_gate.closeAt(m_earlyDeparture->closesAt);
+}
+
 void announcement_service::handle(http_exchange_ptr exchange)
 {
     const auto now = boot_clock::now();
     const auto& request = exchange->request();
     if (const auto id = m_port.decodeDeparture(request)) {
-        if (m_current && m_current->id == *id) {
-            startLeaving();
-            m_onChanged();
-        }
+        handleDeparture(*id);
         return exchange->respond({ { statusOk, {} }, "" });
     }
     const auto decoded = m_port.decodeAnnouncement(request);
--- a/src/mesh/internal/announcement_service.h
+++ b/src/mesh/internal/announcement_service.h
@@ -24,8 +24,17 @@
     bool isLeaving() const { return m_isLeaving; }
     /// Whether the process of the backend server is certain to have ended.
     bool hasEnded() const { return m_hasEnded; }
+    /// Whether the backend server of this id has departed without having been announced to this process.
+    bool hasDeparted(const std::string& id) const;
 
 private:
+    /// A backend server that departed before its first heartbeat to this process.
+    struct early_departure {
+        std::string id;
+        time_point closesAt {}; ///< End of its drain time.
+    };
+
+    void handleDeparture(const std::string& id);
     bool isOlder(const backend_announcement&) const;
     void updateCurrent(const backend_announcement&);
     void startLeaving();
@@ -38,6 +47,7 @@
     std::function<bool()> m_isPartitioned;
     std::function<void()> m_onChanged;
     std::optional<backend_announcement> m_current;
+    std::optional<early_departure> m_earlyDeparture;
     bool m_isLeaving = false;
     bool m_hasEnded = false;
     http_exchange_ptr m_deferredExchange; ///< Heartbeat whose response is delayed until imminent grants are made.
--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -137,7 +137,7 @@
         return;
     const auto member = parseMember(*row.value);
     if (member.has_error() || member.value().life.empty() || member.value().isDraining
-        || member.value().service != m_settings.service)
+        || member.value().service != m_settings.service || m_announcements.hasDeparted(member.value().backendId))
         return;
     m_gate.setBackend({ member.value().life, member.value().backendId, member.value().slots });
     m_ownership.setPresumedLife(member.value().life);
--- a/src/mesh/tests/member_registry_test.cpp
+++ b/src/mesh/tests/member_registry_test.cpp
@@ -35,11 +35,13 @@
             settings.zone = "z1";
             settings.service = "s";
             settings.forward = { "127.0.0.1", 1 };
-            port.decodeDeparture = [](const http_request&) { return std::optional<std::string>(); };
+            port.decodeDeparture = [](const http_request& request) {
+                return request.method == "DELETE" ? std::optional<std::string>("i1") : std::nullopt;
+            };
             port.decodeAnnouncement = [this](const http_request&) -> result<backend_announcement> {
                 backend_announcement out;
                 out.id = "i1";
-                out.startedAt = 5;
+                out.startedAt = startedAt;
                 out.sequence = ++heartbeats;
                 out.service = settings.service;
                 return out;
@@ -48,6 +50,8 @@
             server = loop.listen([this](http_exchange_ptr exchange) { announcements.handle(std::move(exchange)); });
         }
 
+        void depart() { EXPECT_EQ(loop.fetch(server->address(), { "DELETE", "/", {}, "" }).value().head.status, 200); }
+
         void heartbeat() { EXPECT_EQ(loop.fetch(server->address(), { "PUT", "/", {}, "" }).value().head.status, 200); }
 
         static mesh_member member(const instance_id& node, std::uint16_t addressPort, const life_name& life)
@@ -84,6 +88,7 @@
         writing_store store;
         std::vector<instance_id> probed;
         std::int64_t heartbeats = 0;
+        std::int64_t startedAt = 5;
         mesh_directory directory { loop.base(), settings };
         gate_service gate { loop.base(), settings, port,
             { [](key_number) { return key_access::refuse; }, [] { return std::int64_t { 0 }; },
@@ -99,6 +104,42 @@
         std::unique_ptr<http_server> server;
     };
 
+    // Guards against a backend server that is used again after its departure was acknowledged: the node had restarted
+    // after the last heartbeat, forgot the departure, and took a late heartbeat for that of a new backend server.
+    TEST_F(MemberRegistryTest, LateHeartbeatAfterADepartureDoesNotBringTheBackendServerBack)
+    {
+        depart();
+        heartbeat();
+        EXPECT_TRUE(announcements.isLeaving());
+        EXPECT_TRUE(gate.isDraining());
+        startedAt = 6;
+        heartbeat();
+        EXPECT_FALSE(announcements.isLeaving()) << "a later life has started after the departure";
+        EXPECT_FALSE(gate.isDraining());
+    }
+
+    // Guards against the same by the row of the earlier process, which is read after the departure.
+    TEST_F(MemberRegistryTest, RowOfADepartedBackendServerIsNotAdopted)
+    {
+        auto own = member("n1", 1, "i1@5");
+        own.backendId = "i1";
+        depart();
+        registry.onRowChanged(row(own, 50));
+        EXPECT_TRUE(gate.backend().life.empty());
+    }
+
+    // Guards against a departure that does not close the gate, because the backend server is known only from the row of
+    // the earlier process.
+    TEST_F(MemberRegistryTest, DepartureClosesTheGateOfABackendServerKnownFromItsRow)
+    {
+        auto own = member("n1", 1, "i1@5");
+        own.backendId = "i1";
+        registry.onRowChanged(row(own, 50));
+        EXPECT_EQ(gate.backend().id, "i1");
+        depart();
+        EXPECT_TRUE(gate.isDraining());
+    }
+
     // Guards against a removal that each node writes: the loss of an instance among 84 led to 242 writes in a second,
     // beside which owners could not renew their keys.
     TEST_F(MemberRegistryTest, RowThatAnotherNodeRemovesIsNotRemovedAgain)
