--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -532,6 +532,27 @@
         self.deployment.record("node", self.name, "gets", signal.Signals(number).name)
         self.process.send_signal(number)
 
+    def resident_mb(self):
+        with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    async def limit_memory(self, most_mb, restart_s=0.5):
+        """The platform: "A process that exceeds MemoryMb is killed", and it is started again after a short delay."""
+        self.memory_kills, self.memory_peak = 0, 0.0
+        while True:
+            await asyncio.sleep(0.003)
+            if self.process.poll() is not None:
+                continue
+            used = self.resident_mb()
+            self.memory_peak = max(self.memory_peak, used)
+            if used > most_mb:
+                self.memory_kills += 1
+                self.deployment.record("node", self.name, f"uses {used:.0f} MB and is killed")
+                self.process.kill()
+                self.process.wait()
+                await asyncio.sleep(restart_s)
+                self.start()
+
     async def ended(self, timeout=10):
         end = time.monotonic() + timeout
         while self.process.poll() is None and time.monotonic() < end:
