--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -235,10 +235,10 @@
 class Upstream:
     """One incarnation of an upstream. Follows "Upstreams", "Service discovery" and "Keys that upstreams hold"."""
 
-    def __init__(self, machine, identity, work_s, record):
+    def __init__(self, machine, identity, work_s, record, clock_ms=0):
         self.machine, self.id, self.work_s, self.record = machine, identity, work_s, record
         self.service, self.sharded = machine.service, machine.sharded
-        self.born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000) + clock_ms  # by the machine's time of day
         self.sequence = 0
         self.state = "ready"
         self.holds = []  # [from, to, fence, end of the hold]
@@ -594,8 +594,8 @@
         for name, (identity, work) in upstreams.items():
             await self.add_upstream(self[name], identity, work)
 
-    async def add_upstream(self, machine, identity, work_s, beats=True):
-        upstream = Upstream(machine, identity, work_s, self.record)
+    async def add_upstream(self, machine, identity, work_s, beats=True, clock_ms=0):
+        upstream = Upstream(machine, identity, work_s, self.record, clock_ms)
         self.upstreams.append(upstream)
         await upstream.start(beats)
         return upstream
