--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -158,9 +158,10 @@
 
         result<void> listen()
         {
-            const auto bind = [this](const endpoint& address, const http_server_limits& limits, http_handler handler,
+            const auto bind = [this](endpoint& address, const http_server_limits& limits, http_handler handler,
                                   std::unique_ptr<http_server>& target) -> result<void> {
                 BOOST_OUTCOME_TRY(server, http_server::listen(m_base, address, limits, std::move(handler)));
+                address = server->address();
                 target = std::move(server);
                 return outcome::success();
             };
@@ -181,13 +182,20 @@
                 m_announcementServer);
         }
 
-        void run() override
+        void start() override
         {
             m_configurationWatcher.start();
             m_memberWatcher.start();
             m_tables.start();
             m_watch.start();
             logEvent(log_event::node_started, { { "instance", m_settings.node } });
+        }
+
+        const mesh_settings& settings() const override { return m_settings; }
+
+        void run() override
+        {
+            start();
             event_base_dispatch(m_base);
             logEvent(log_event::node_stopped);
         }
