heatherdriftd: run calls whose target is that of an outcome inquiry

Callers of heatherdriftd whose target begins with /v1/outcomes/ got 503 with "the owner's node refused the request" or waited until their deadline; the call never ran. Claims were told apart by the request id already.

A forwarded call always has a request id, and callers cannot set it; an inquiry has none. The id decides for both now. Looked at and sound: the control port (Thrift frames), the administration port (a listener of its own).

Test: RequestPathTest.CallersRequestRunsWhateverItsTargetIs failed before for two of three targets.

--- a/src/routing/internal/forward_service.cpp
+++ b/src/routing/internal/forward_service.cpp
@@ -140,9 +140,12 @@
             toFailureResponse(notRun(error_code::not_owner, "the request is meant for another process"), requestId));
         return;
     }
+    // Forwarded calls have an id, which callers cannot set, and the target that the caller chose.
+    if (!requestId.empty())
+        return run(std::move(exchange));
     if (request.target.starts_with(outcomePath))
         return answerInquiry(std::move(exchange));
-    if (request.target == claimPath && requestId.empty())
+    if (request.target == claimPath)
         return answerClaim(std::move(exchange));
     run(std::move(exchange));
 }
--- a/src/routing/tests/request_path_test.cpp
+++ b/src/routing/tests/request_path_test.cpp
@@ -24,6 +24,23 @@
         EXPECT_EQ(backends["a"].requests, 0);
     }
 
+    // Guards against a caller's call that the owner's node answers as a message between nodes, because of its target.
+    TEST_F(RequestPathTest, CallersRequestRunsWhateverItsTargetIs)
+    {
+        for (const std::string target : { "/v1/outcomes/a-1-1", "/v1/outcomes/", "/v1/claims" }) {
+            const auto before = backends["b"].requests;
+            const auto client = http_client::create(base.get(), nodes["a"].task->entryAddress(), 1);
+            std::optional<result<http_response>> answer;
+            fetch(*client,
+                { "POST", target, { { header::labels, "kind=lookup" }, { header::key, "k" } }, R"({"sent_ago_us":1})" },
+                boot_clock::now() + std::chrono::minutes(30), 1 << 20,
+                [&](result<http_response> response) { answer = std::move(response); });
+            runUntil([&] { return answer.has_value(); });
+            EXPECT_EQ(backends["b"].requests, before + 1) << target;
+            EXPECT_TRUE(answer->value().body.starts_with("answer to ")) << answer->value().body;
+        }
+    }
+
     // Guards against a call that is started without a valid lease, and against a refusal with another verdict than
     // not_run.
     TEST_F(RequestPathTest, OwnerWithoutALeaseRunsNothing)
