Pass on no success of another node without the backend server's signature

Cause: only the gate checked the signature of an answer. The entry node now checks it on answers of other nodes, too; a success or refusal status without it ends as "may have run". The gate's rule is shared in answer_status.h.

Tests: MeshNodeTest.SuccessOfANodeWithoutTheBackendServersSignatureIsNotPassed On failed before (200 instead of 502). ProtocolHeadersOfOthersHaveNoEffect and MisdirectedStatusOfTheBackendServerIsNoSignOfAnotherNode found nothing: an empty or second heatherdrift-service header, other cases of its name, a Connection header that lists it, the answer's headers, and 421, 404 and 413 from a backend server are all kept apart.

--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -1,6 +1,7 @@
 #include "mesh/internal/entry_call.h"
 
 #include "mesh/internal/answer_limits.h"
+#include "mesh/internal/answer_status.h"
 #include "mesh/internal/retry_time.h"
 
 #include <algorithm>
@@ -157,13 +158,13 @@
         return handleAnswer(std::move(answer));
     }
     auto answer = decodeAnswer(std::move(response).value());
-    if (answer.has_error()) {
-        gate_answer lost;
-        lost.outcome = answer.error().outcome;
-        lost.reason = answer.error().code;
-        lost.reachedBackend = true;
-        return handleAnswer(std::move(lost));
-    }
+    if (answer.has_error())
+        return handleLost(answer.error().code);
+    const auto& head = answer.value().response.head;
+    // A gate passes on no such answer, so the other node has taken the request for a message of this one.
+    if (answer.value().outcome == verdict::ran && needsSignature(head.status)
+        && !m_context.port.decodeAnswer(head).isFromBackend)
+        return handleLost(error_code::internal);
     m_context.directory.recordAnswer(m_attempt->node, answer.value().load, now);
     m_context.onMapVersion(m_request.service, m_attempt->node, answer.value().load.mapVersion);
     if (const auto& tables = answer.value().load.tables)
@@ -171,6 +172,15 @@
     handleAnswer(std::move(answer).value());
 }
 
+void entry_call::handleLost(error_code reason)
+{
+    gate_answer lost;
+    lost.outcome = verdict::may_have_run;
+    lost.reason = reason;
+    lost.reachedBackend = true;
+    handleAnswer(std::move(lost));
+}
+
 void entry_call::observe(const gate_answer& answer, time_point now)
 {
     if (m_request.key)
--- a/src/mesh/internal/entry_call.h
+++ b/src/mesh/internal/entry_call.h
@@ -26,6 +26,8 @@
     void sendNext();
     void sendTo(const instance_id&);
     void handleResponse(result<http_response>);
+    /// The other node's answer shows that it does not know what became of the request.
+    void handleLost(error_code);
     void handleAnswer(gate_answer);
     void observe(const gate_answer&, time_point now);
     duration retryDelay(const gate_answer&) const;
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -1,6 +1,7 @@
 #include "mesh/internal/gate_service.h"
 
 #include "mesh/internal/answer_limits.h"
+#include "mesh/internal/answer_status.h"
 #include "telemetry/log_event.h"
 
 namespace heatherdrift {
@@ -26,17 +27,6 @@
     }
 
     constexpr int statusMisdirected = 421;
-    constexpr int statusRequestTimeout = 408;
-    constexpr int statusTooManyRequests = 429;
-    constexpr int statusUnavailable = 503;
-
-    /// Callers take these statuses for a statement that the request has not run.
-    bool isRefusalStatus(int status)
-    {
-        return status == statusRequestTimeout || status == statusTooManyRequests || status == statusUnavailable;
-    }
-
-    bool isSuccess(int status) { return status / 100 == 2; }
 
     request_fingerprint fingerprintOf(const routed_request& request)
     {
@@ -281,8 +271,7 @@
         answer.reachedBackend = true;
         return answer;
     }
-    const bool needsSignature = isSuccess(head.status) || isRefusalStatus(head.status);
-    if (needsSignature && !info.isFromBackend) {
+    if (needsSignature(head.status) && !info.isFromBackend) {
         answer.outcome = verdict::may_have_run;
         answer.reason = error_code::connection_lost;
         return answer;
--- a/src/mesh/tests/mesh_node_test.cpp
+++ b/src/mesh/tests/mesh_node_test.cpp
@@ -1,6 +1,7 @@
 #include "http/tests/raw_peers.h"
 #include "http/tests/test_loop.h"
 #include "mesh/internal/crash_exchange.h"
+#include "mesh/internal/member_registry.h"
 #include "mesh/internal/owner_exchange.h"
 #include "mesh/internal/peer_watch.h"
 #include "mesh/internal/range_balancer.h"
@@ -38,14 +39,39 @@
             current.version = 1;
             current.routes.push_back({ "r", "h", "/", false, { { "s", 1 } }, 1, seconds(60), seconds(1), 1 });
             current.services.push_back({ "s", 64, false });
-            backend = loop.listen([this](const http_exchange_ptr& exchange) {
+            current.routes.push_back(
+                { "f", "foreign", "/", false, { { "foreign", 1 } }, 1, seconds(60), seconds(1), 1 });
+            current.services.push_back({ "foreign", 64, false });
+            http_server_limits limits;
+            limits.headerBytes = 1 << 20;
+            backend = http_server::listen(loop.base(), { "127.0.0.1", 0 }, limits, [this](http_exchange_ptr exchange) {
                 runs.push_back(exchange->request());
                 auto answer = backendAnswer;
                 if (const auto id = exchange->request().headers.find("id"))
                     answer.head.headers.set("id", std::string(*id));
                 answer.body = bodyFor(exchange->request());
                 exchange->respond(std::move(answer));
-            });
+            }).value();
+        }
+
+        /// Adds a node of the service "foreign", whose listener for other nodes the test plays.
+        void addForeignNode(const endpoint& forward)
+        {
+            mesh_member member;
+            member.node = "foreign-1";
+            member.zone = "z";
+            member.address = forward;
+            member.service = "foreign";
+            member.life = "f@1";
+            member.backendId = "f";
+            store.apply({ {}, { { { member_registry::table, member.node }, 0, toJson(member) } } });
+        }
+
+        http_response sendToForeignNode(const std::string& target)
+        {
+            http_request request { "POST", target, { { "Host", "foreign" }, { "id", "f1" }, { "timeout-ms", "60000" } },
+                "" };
+            return loop.fetch(entry->settings().entry, std::move(request)).value();
         }
 
         static std::string bodyFor(const http_request& request)
@@ -128,6 +154,50 @@
         }
     }
 
+    // Guards against mixing up what callers and backend servers send with the headers between nodes.
+    TEST_F(MeshNodeTest, ProtocolHeadersOfOthersHaveNoEffect)
+    {
+        startNodes();
+        const http_headers foreign { { "heatherdrift-service", "" }, { "HEATHERDRIFT-Service", "other" },
+            { "Heatherdrift-Target", "other" }, { "heatherdrift-verdict", "not_run" },
+            { "heatherdrift-timeout-us", "0" }, { "Connection", "heatherdrift-service" } };
+        for (const int status : { 200, 404, 413, 500 }) {
+            backendAnswer = { { status, foreign }, "" };
+            backendAnswer.head.headers.add("signed", "1");
+            runs.clear();
+            const auto answer = send(peer_watch::target, "POST", foreign);
+            ASSERT_EQ(runs.size(), 1u) << status;
+            EXPECT_EQ(answer.head.status, status);
+            EXPECT_EQ(answer.body, bodyFor(runs[0]));
+            EXPECT_FALSE(answer.head.headers.find("heatherdrift-verdict"));
+            EXPECT_FALSE(runs[0].headers.find("heatherdrift-service"));
+        }
+    }
+
+    // Guards against a refusal of a backend server that the entry node takes for one of another node, and the reverse:
+    // the backend server states 421, and its node is still the intended one.
+    TEST_F(MeshNodeTest, MisdirectedStatusOfTheBackendServerIsNoSignOfAnotherNode)
+    {
+        startNodes();
+        backendAnswer = { { 421, { { "not-executed", "1" } } }, "" };
+        EXPECT_EQ(send("/", "POST").head.status, 503);
+        backendAnswer = { { 200, { { "signed", "1" } } }, "" };
+        EXPECT_EQ(send("/", "POST").head.status, 200);
+    }
+
+    // Guards against a success that no backend server gave: a node of a former version takes the request for a ping.
+    TEST_F(MeshNodeTest, SuccessOfANodeWithoutTheBackendServersSignatureIsNotPassedOn)
+    {
+        const auto former = loop.listen([](const http_exchange_ptr& exchange) {
+            gate_answer answer;
+            answer.outcome = verdict::ran;
+            exchange->respond(encodeAnswer(std::move(answer)));
+        });
+        addForeignNode(former->address());
+        startNodes();
+        EXPECT_EQ(sendToForeignNode(peer_watch::target).head.status, 502);
+    }
+
     // Guards against running forwarded requests that the entry node cancelled while the gate's process was paused.
     TEST_F(MeshNodeTest, ForwardedRequestThatWasCancelledBeforeItWasReadDoesNotRun)
     {
