Accept between nodes what the entry accepts, and say what was not read

With a configured MaxHeaderBytes above 64 KB, callers got 502 for heads that the entry node had accepted; the request never ran. Above 80 KB they got 400 from the entry node itself.

Cause: the limits of the listener for other nodes were fixed and did not follow the configuration, and its HTTP layer answered 400, 413 and 431 without a verdict, which counts as "may have run". The HTTP library has a third limit of 80 KB, below what a configuration may allow.

The limits between nodes now follow the configuration, with room for the headers between nodes. Answers that the HTTP layer gives by itself there carry the verdict "not run", as do forwarded requests that cannot be decoded, so that a node with an older configuration causes a refusal. The library's limit is lifted; the parser counts the head itself.

Tests: MeshNodeTest.HeadsUpToTheConfiguredLimitReachTheBackendServer failed before (400, and 502 with the library's limit lifted), RequestThatTheOtherNodeCannotReadIsRefusedAsNotRun failed before (502).

--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -71,6 +71,8 @@
     virtual endpoint address() const = 0;
     /// Applies to what arrives from now on.
     virtual void setLimits(const http_server_limits&) = 0;
+    /// Fields of the answers with status 400, 413 and 431 that the server gives by itself.
+    virtual void setRejectionHeaders(http_headers) = 0;
     /// Closes the listening socket; exchanges in progress go on.
     virtual void stopListening() = 0;
     /// From now on each connection is closed after the answer to the last request that has arrived on it.
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -59,6 +59,7 @@
 
         endpoint address() const override { return m_address; }
         void setLimits(const http_server_limits& limits) override { m_context->limits = limits; }
+        void setRejectionHeaders(http_headers headers) override { m_context->rejectionHeaders = std::move(headers); }
         void stopListening() override { m_listener = nullptr; }
         void closeAfterAnswers() override { m_context->closesAfterAnswers = true; }
         void closeIdle() override
--- a/src/http/internal/message_parser.cpp
+++ b/src/http/internal/message_parser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <cstdint>
 
 namespace heatherdrift {
 
@@ -16,6 +17,8 @@
     : m_headerLimitBytes(headerLimitBytes)
     , m_handlers(std::move(handlers))
 {
+    // The library has a fixed limit of its own, below what a configuration may allow.
+    http_parser_set_max_header_size(UINT32_MAX);
     http_parser_init(&m_native, reads == side::requests ? HTTP_REQUEST : HTTP_RESPONSE);
     m_native.data = this;
 }
--- a/src/http/internal/server_connection.cpp
+++ b/src/http/internal/server_connection.cpp
@@ -142,7 +142,7 @@
     m_isReading = false;
     auto exchange = std::make_shared<server_exchange>(shared_from_this(), http_request {}, false, false);
     m_exchanges.push_back(exchange);
-    exchange->respond({ { status, {} }, "" });
+    exchange->respond({ { status, m_context->rejectionHeaders }, "" });
 }
 
 void server_connection::exchangeChanged()
--- a/src/http/internal/server_connection.h
+++ b/src/http/internal/server_connection.h
@@ -16,6 +16,7 @@
     event_base* base = nullptr;
     http_server_limits limits;
     http_handler handler;
+    http_headers rejectionHeaders;
     bool closesAfterAnswers = false;
     std::function<void(class server_connection*)> forget; ///< Drops the server's reference to a closed connection.
 };
--- a/src/mesh/forward_protocol.h
+++ b/src/mesh/forward_protocol.h
@@ -74,6 +74,8 @@
 bool isForwarded(const http_request&);
 result<routed_request> decodeForward(const http_request&, time_point now);
 http_response encodeAnswer(gate_answer);
+/// Fields of an answer by which a node states that it has not run a request that it could not read.
+http_headers rejectionHeaders();
 result<gate_answer> decodeAnswer(http_response);
 
 } // namespace heatherdrift
--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -201,6 +201,12 @@
     return out;
 }
 
+http_headers rejectionHeaders()
+{
+    return { { verdictHeader, std::string(toString(verdict::not_run)) },
+        { errorHeader, std::string(toString(error_code::bad_request)) } };
+}
+
 result<gate_answer> decodeAnswer(http_response response)
 {
     gate_answer answer;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -40,6 +40,9 @@
     constexpr auto minStopTime = std::chrono::milliseconds(2300);
     constexpr auto stopMargin = std::chrono::milliseconds(500); ///< Before the process would be killed.
     constexpr http_server_limits forwardLimits { 64 * 1024, 64u << 20, 120, 1 };
+    /// What a forwarded request may have beyond the caller's: the headers between nodes.
+    constexpr std::size_t forwardHeaderBytes = 16 * 1024;
+    constexpr int statusBadRequest = 400;
     constexpr int statusNotFound = 404;
     constexpr int statusUnavailable = 503;
     constexpr std::size_t pipelineDepth = 16; ///< Concurrent requests per caller connection.
@@ -170,6 +173,7 @@
             BOOST_OUTCOME_TRY(bind(
                 m_settings.forward, forwardLimits,
                 [this](http_exchange_ptr exchange) { handleForward(std::move(exchange)); }, m_forwardServer));
+            m_forwardServer->setRejectionHeaders(rejectionHeaders());
             BOOST_OUTCOME_TRY(bind(
                 m_settings.entry, entryLimits,
                 [this](http_exchange_ptr exchange) { m_entry.handle(std::move(exchange)); }, m_entryServer));
@@ -281,6 +285,11 @@
             const auto idle = std::chrono::duration_cast<std::chrono::seconds>(limits.idleTimeout).count();
             m_entryServer->setLimits(
                 { limits.headerBytes, limits.bodyBytes, static_cast<int>(std::max<long>(1, idle)), pipelineDepth });
+            // What the entry node accepts, the gate has to accept, too.
+            auto forwarded = forwardLimits;
+            forwarded.headerBytes = std::max(forwarded.headerBytes, limits.headerBytes + forwardHeaderBytes);
+            forwarded.bodyBytes = std::max(forwarded.bodyBytes, limits.bodyBytes);
+            m_forwardServer->setLimits(forwarded);
             const auto* service = m_routes.service(m_settings.service);
             if (service && service->maximumConnections > 0)
                 m_gate.setMaximumConnections(service->maximumConnections);
@@ -337,7 +346,7 @@
                 return handleNodeMessage(exchange);
             auto request = decodeForward(exchange->request(), boot_clock::now());
             if (request.has_error())
-                return exchange->respond({ { 400, {} }, "" });
+                return exchange->respond({ { statusBadRequest, rejectionHeaders() }, "" });
             // The entry node cancels a request by closing the connection.
             if (exchange->hasClientLeft())
                 return logEvent(log_event::request_abandoned,
--- a/src/mesh/tests/mesh_node_test.cpp
+++ b/src/mesh/tests/mesh_node_test.cpp
@@ -198,6 +198,31 @@
         EXPECT_EQ(sendToForeignNode(peer_watch::target).head.status, 502);
     }
 
+    // Guards against "may have run" for a request that the other node could not read, and against requests that the
+    // entry node accepts and the other node does not.
+    TEST_F(MeshNodeTest, HeadsUpToTheConfiguredLimitReachTheBackendServer)
+    {
+        current.limits.headerBytes = 200 * 1024;
+        startNodes();
+        const auto answer = send("/", "POST", { { "large", std::string(150 * 1024, 'a') } });
+        EXPECT_EQ(answer.head.status, 200);
+        EXPECT_EQ(runs.size(), 1u);
+    }
+
+    TEST_F(MeshNodeTest, RequestThatTheOtherNodeCannotReadIsRefusedAsNotRun)
+    {
+        http_server_limits limits;
+        limits.headerBytes = 1024;
+        const auto strict = http_server::listen(loop.base(), { "127.0.0.1", 0 }, limits, [](const auto&) {}).value();
+        strict->setRejectionHeaders(rejectionHeaders());
+        addForeignNode(strict->address());
+        startNodes();
+        EXPECT_EQ(sendToForeignNode("/" + std::string(2000, 'a')).head.status, 503);
+        const auto own = loop.fetch(owner->settings().forward,
+            { "POST", "/", { { "heatherdrift-target", "owner" }, { "heatherdrift-service", "" } }, "" });
+        EXPECT_EQ(decodeAnswer(own.value()).value().outcome, verdict::not_run);
+    }
+
     // Guards against running forwarded requests that the entry node cancelled while the gate's process was paused.
     TEST_F(MeshNodeTest, ForwardedRequestThatWasCancelledBeforeItWasReadDoesNotRun)
     {
