Bind the listener for metrics of the platform's node

The settings name an address for metrics, and the deploy file names their path, but nothing listened there: the listener was declared and never bound. It serves /metrics now and 404 for all else.

Test: MeshNodeTest.OtherListenersServeTheirOwnTargetsOnly failed before (the connection was refused). It also shows what a caller gets that reaches the readiness, metrics or forward listener by mistake: 404, 404 and 421.

--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -45,6 +45,7 @@
     constexpr int statusBadRequest = 400;
     constexpr int statusNotFound = 404;
     constexpr int statusUnavailable = 503;
+    constexpr const char* metricsPath = "/metrics";
     constexpr std::size_t pipelineDepth = 16; ///< Concurrent requests per caller connection.
 
     class mesh_node_impl : public mesh_node {
@@ -180,6 +181,9 @@
             BOOST_OUTCOME_TRY(bind(
                 m_settings.readiness, {}, [this](const http_exchange_ptr& exchange) { handleReadiness(exchange); },
                 m_readinessServer));
+            BOOST_OUTCOME_TRY(bind(
+                m_settings.metrics, {}, [this](const http_exchange_ptr& exchange) { handleMetrics(exchange); },
+                m_metricsServer));
             return bind(
                 m_settings.announcements, {},
                 [this](http_exchange_ptr exchange) { m_announcements.handle(std::move(exchange)); },
@@ -332,6 +336,8 @@
 
         void handleMetrics(const http_exchange_ptr& exchange)
         {
+            if (exchange->request().target != metricsPath)
+                return exchange->respond({ { statusNotFound, {} }, "" });
             const auto load = m_gate.load();
             m_metrics.gateLoad(load.load, load.demand, m_gate.inProgress());
             exchange->respond({ { 200, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_metrics.text() });
--- a/src/mesh/tests/mesh_node_test.cpp
+++ b/src/mesh/tests/mesh_node_test.cpp
@@ -223,6 +223,21 @@
         EXPECT_EQ(decodeAnswer(own.value()).value().outcome, verdict::not_run);
     }
 
+    // Guards against answers to callers that reach another listener of the node by mistake, and against a listener that
+    // the settings name and that nobody has bound.
+    TEST_F(MeshNodeTest, OtherListenersServeTheirOwnTargetsOnly)
+    {
+        startNodes();
+        const auto statusOf = [&](const endpoint& address, const std::string& target) {
+            return loop.fetch(address, { "GET", target, {}, "" }).value().head.status;
+        };
+        EXPECT_EQ(statusOf(owner->settings().metrics, "/metrics"), 200);
+        EXPECT_EQ(statusOf(owner->settings().metrics, "/"), 404);
+        EXPECT_EQ(statusOf(owner->settings().readiness, "/ready"), 200);
+        EXPECT_EQ(statusOf(owner->settings().readiness, "/"), 404);
+        EXPECT_EQ(statusOf(owner->settings().forward, "/"), 421);
+    }
+
     // Guards against running forwarded requests that the entry node cancelled while the gate's process was paused.
     TEST_F(MeshNodeTest, ForwardedRequestThatWasCancelledBeforeItWasReadDoesNotRun)
     {
