Set the HTTP library's limit once

It is a variable of the library for the whole process; heatherdriftd makes parsers in two threads. It is now set where the callbacks are, once, before the first bytes are read.

--- a/src/http/internal/message_parser.cpp
+++ b/src/http/internal/message_parser.cpp
@@ -17,8 +17,6 @@
     : m_headerLimitBytes(headerLimitBytes)
     , m_handlers(std::move(handlers))
 {
-    // The library has a fixed limit of its own, below what a configuration may allow.
-    http_parser_set_max_header_size(UINT32_MAX);
     http_parser_init(&m_native, reads == side::requests ? HTTP_REQUEST : HTTP_RESPONSE);
     m_native.data = this;
 }
@@ -26,6 +24,8 @@
 const http_parser_settings& message_parser::callbacks()
 {
     static const http_parser_settings value = [] {
+        // The library's own limit for all parsers is below what a configuration may allow.
+        http_parser_set_max_header_size(UINT32_MAX);
         http_parser_settings settings;
         http_parser_settings_init(&settings);
         settings.on_message_begin = [](http_parser* native) { return self(native).begin(); };
