--- a/src/mesh/tests/mesh_node_test.cpp
+++ b/src/mesh/tests/mesh_node_test.cpp
@@ -16,7 +16,6 @@
 namespace heatherdrift {
 namespace {
 
-    using std::chrono::milliseconds;
     using std::chrono::seconds;
 
     constexpr const char* nodeTargets[] = { peer_watch::target, table_exchange::target, owner_exchange::target,
@@ -198,8 +197,7 @@
         EXPECT_EQ(sendToForeignNode(peer_watch::target).head.status, 502);
     }
 
-    // Guards against "may have run" for a request that the other node could not read, and against requests that the
-    // entry node accepts and the other node does not.
+    // Guards against requests that the entry node accepts and the other node does not.
     TEST_F(MeshNodeTest, HeadsUpToTheConfiguredLimitReachTheBackendServer)
     {
         current.limits.headerBytes = 200 * 1024;
@@ -209,6 +207,7 @@
         EXPECT_EQ(runs.size(), 1u);
     }
 
+    // Guards against "may have run" for a request that the other node could not read.
     TEST_F(MeshNodeTest, RequestThatTheOtherNodeCannotReadIsRefusedAsNotRun)
     {
         http_server_limits limits;
