Log which requests were at work in a crash of a backend server

A crash was logged as backend_lost or not at all, so that the logs could not tell a request that is exempt from crashes that nobody counts. E1807 names the requests at work, those that become suspects, and crashes that are not counted because the backend server was draining; request_lost and request_quarantined name the same fingerprints.

--- a/src/admission/request_fingerprint.h
+++ b/src/admission/request_fingerprint.h
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace heatherdrift {
 
@@ -21,4 +23,9 @@
 
 request_fingerprint fingerprintOf(const request_content&);
 
+/// Hexadecimal form, for log lines.
+std::string fingerprintText(request_fingerprint);
+/// The first fingerprints of the list, separated by spaces, and the number of those that are left out.
+std::string fingerprintText(const std::vector<request_fingerprint>&);
+
 } // namespace heatherdrift
--- a/src/mesh/internal/crash_exchange.cpp
+++ b/src/mesh/internal/crash_exchange.cpp
@@ -87,7 +87,11 @@
 
 void crash_exchange::onCrash(backend_crash crash)
 {
+    const auto atWork = crash.suspects;
     const auto recorded = m_suspects.recordCrash(std::move(crash), boot_clock::now());
+    logEvent(log_event::backend_crashed,
+        { { "backend_server", recorded.life }, { "counted", "yes" }, { "at_work", fingerprintText(atWork) },
+            { "suspects", fingerprintText(recorded.suspects) } });
     if (!recorded.suspects.empty())
         tellAll({ { recorded }, {} });
 }
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -70,6 +70,10 @@
 {
     auto atWork = m_crashes.takeAtWork();
     const bool hasCrashed = !m_backend.life.empty() && m_closesAt == time_point::max() && !atWork.empty();
+    if (!hasCrashed && !atWork.empty())
+        logEvent(log_event::backend_crashed,
+            { { "backend_server", m_backend.life }, { "counted", "no" }, { "reason", "draining" },
+                { "at_work", fingerprintText(atWork) } });
     if (hasCrashed && m_hooks.onCrashed)
         m_hooks.onCrashed({ m_backend.life, std::move(atWork) });
 }
@@ -134,7 +138,8 @@
     const auto now = boot_clock::now();
     const auto fingerprint = fingerprintOf(request);
     if (const auto until = refusedUntil(fingerprint, now)) {
-        logEvent(log_event::request_quarantined, { { "request", request.id }, { "route", request.route } });
+        logEvent(log_event::request_quarantined,
+            { { "request", request.id }, { "route", request.route }, { "fingerprint", fingerprintText(fingerprint) } });
         onAnswer(crashRefusal(*until, now));
         return id;
     }
@@ -241,7 +246,8 @@
     if (classified.outcome == verdict::may_have_run) {
         logEvent(log_event::request_lost,
             { { "request", found->second.request.id }, { "reason", std::string(toString(classified.reason)) },
-                { "detail", detail }, { "backend_server", m_backend.id }, { "route", found->second.request.route },
+                { "fingerprint", fingerprintText(fingerprint) }, { "detail", detail },
+                { "backend_server", m_backend.id }, { "route", found->second.request.route },
                 { "ran_ms",
                     std::to_string(
                         std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.startedAt).count()) },
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -105,6 +105,8 @@
             "A heartbeat is older than one that was taken." },
         { log_event::departure_not_recorded, "departure_not_recorded", log_level::warning,
             "The store did not take a departure in time; the shutdown notice is not acknowledged." },
+        { log_event::backend_crashed, "backend_crashed", log_level::warning,
+            "The backend server ended while requests were at work; the line names them by their fingerprints." },
         { log_event::request_quarantined, "request_quarantined", log_level::warning,
             "A request that crashed backend servers is refused from now on." },
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", log_level::warning,
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -46,6 +46,7 @@
     backend_announced = 1801,
     backend_lost = 1802,
     backend_recovered = 1803,
+    backend_crashed = 1807,
     request_quarantined = 1901,
     foreign_answer_dropped = 1902,
     request_refused = 1911,
