Test that a request is refused after three crashes although it was answered before

The parts of MeshNodeTest that start whole nodes move to a fixture that both tests use; its checks are unchanged.

--- a/src/admission/tests/crash_suspects_test.cpp
+++ b/src/admission/tests/crash_suspects_test.cpp
@@ -49,6 +49,16 @@
         EXPECT_EQ(suspects.recordCrash({ "e@1", { popular, lethal } }, start).suspects, (std::vector { lethal }));
     }
 
+    // Guards against an exemption for good: the request was answered well before it began to crash backend servers.
+    TEST(CrashSuspects, RequestThatWasAnsweredBeforeItsFirstCrashIsRefusedAfterTheThird)
+    {
+        crash_suspects suspects;
+        suspects.recordAnswer(lethal);
+        for (const auto* life : { "a@1", "b@1", "c@1" })
+            suspects.merge({ life, { lethal } }, start);
+        EXPECT_TRUE(suspects.refusedUntil(lethal, start));
+    }
+
     // Guards against a suspicion that stays although the request is answered, here or at another node.
     TEST(CrashSuspects, AnswerEndsTheSuspicion)
     {
--- a/src/mesh/tests/mesh_node_test.cpp
+++ b/src/mesh/tests/mesh_node_test.cpp
@@ -1,5 +1,4 @@
 #include "http/tests/raw_peers.h"
-#include "http/tests/test_loop.h"
 #include "mesh/internal/crash_exchange.h"
 #include "mesh/internal/member_registry.h"
 #include "mesh/internal/owner_exchange.h"
@@ -7,9 +6,7 @@
 #include "mesh/internal/range_balancer.h"
 #include "mesh/internal/range_replicas.h"
 #include "mesh/internal/table_exchange.h"
-#include "mesh/mesh_node.h"
-#include "mesh/tests/loop_store.h"
-#include "mesh/tests/test_port.h"
+#include "mesh/tests/mesh_fixture.h"
 
 #include <regex>
 
@@ -23,24 +20,12 @@
 
     /// Two whole nodes on loopback. Callers send to the entry of "entry"; only "owner" has a backend server, which
     /// answers each request with its target and body.
-    class MeshNodeTest : public testing::Test {
+    class MeshNodeTest : public mesh_fixture {
     protected:
         void SetUp() override
         {
-            port.configurationRow = { "configuration", "current" };
-            port.readinessPath = "/ready";
-            port.decodeConfiguration = [this](std::string_view) -> result<route_configuration> { return current; };
-            port.decodeDeparture = [](const http_request&) { return std::optional<std::string>(); };
-            port.encodeGrant = [](const hold_grant&) { return http_response { { 200, {} }, "" }; };
-            port.decodeAnnouncement = [this](const http_request&) -> result<backend_announcement> {
-                return backend_announcement { "i", 1, ++sequence, "s", backend->address(), 4, false, {}, {} };
-            };
-            current.version = 1;
-            current.routes.push_back({ "r", "h", "/", false, { { "s", 1 } }, 1, seconds(60), seconds(1), 1 });
-            current.services.push_back({ "s", 64, false });
-            current.routes.push_back(
-                { "f", "foreign", "/", false, { { "foreign", 1 } }, 1, seconds(60), seconds(1), 1 });
-            current.services.push_back({ "foreign", 64, false });
+            addService("s", "h");
+            addService("foreign", "foreign");
             http_server_limits limits;
             limits.headerBytes = 1 << 20;
             backend = http_server::listen(loop.base(), { "127.0.0.1", 0 }, limits, [this](http_exchange_ptr exchange) {
@@ -78,59 +63,27 @@
             return request.method + " " + request.target + " " + request.body;
         }
 
-        std::unique_ptr<mesh_node> startNode(const std::string& name, const std::string& service)
-        {
-            mesh_settings settings;
-            settings.node = name;
-            settings.zone = "z";
-            settings.service = service;
-            settings.backend = backend->address();
-            for (auto* address :
-                { &settings.entry, &settings.forward, &settings.readiness, &settings.announcements, &settings.metrics })
-                *address = { "127.0.0.1", 0 };
-            settings.heartbeatInterval = seconds(1);
-            settings.drainTime = seconds(2);
-            settings.stopTime = seconds(6);
-            settings.longestHold = seconds(10);
-            auto node = mesh_node::create(
-                loop.base(), settings, port, std::make_unique<loop_store_client>(loop.base(), store));
-            node.value()->start();
-            return std::move(node).value();
-        }
-
         /// Starts both nodes and waits until requests get from one to the other.
         void startNodes()
         {
-            store.apply({ {}, { { port.configurationRow, 0, "" } } });
-            owner = startNode("owner", "s");
-            entry = startNode("entry", "t");
-            const auto announced
-                = loop.fetch(owner->settings().announcements, { "PUT", "/instances/i", {}, "" }).value();
-            ASSERT_EQ(announced.head.status, 200);
+            storeConfiguration();
+            owner = startNode("owner", "s", backend->address());
+            entry = startNode("entry", "t", backend->address());
+            ASSERT_EQ(announce(*owner, "i", 1), 200);
             while (send("/", "GET").head.status != 200) { }
             runs.clear();
         }
 
-        http_response send(const std::string& target, const std::string& method, http_headers extra = {})
+        http_response send(const std::string& target, const std::string& method, const http_headers& extra = {})
         {
-            http_request request { method, target,
-                { { "Host", "h" }, { "id", "r" + std::to_string(++lastId) }, { "timeout-ms", "60000" } }, "body" };
-            for (const auto& [name, value] : extra.fields())
-                request.headers.add(name, value);
-            return loop.fetch(entry->settings().entry, std::move(request)).value();
+            return mesh_fixture::send(*entry, "h", target, method, extra);
         }
 
-        test_loop loop;
-        platform_port port = makeTestPort();
-        simulated_store store;
-        route_configuration current;
         std::unique_ptr<http_server> backend;
         http_response backendAnswer { { 200, { { "signed", "1" } } }, "" };
         std::vector<http_request> runs;
         std::unique_ptr<mesh_node> owner;
         std::unique_ptr<mesh_node> entry;
-        int lastId = 0;
-        std::int64_t sequence = 0;
     };
 
     // Guards against a caller's request that the node of its backend server answers as a message between nodes, because
