Count crashes of a request only since its last answer

Callers saw other callers' requests lost with one backend server after the other: a request that had been answered before and then crashed each backend server that began to run it was passed on without end (BUDGET; 34 crashes in 30 s).

Cause: crash_suspects left out each request that any backend server of the service had answered, whenever that was, and an answer of one node cleared it on all nodes for good. Evidence of an earlier run was taken for evidence about the next one.

Change: an answer ends the suspicion of the crashes before it and nothing else. Three crashes without an answer in between refuse the request. Nodes answer the report of a crash with the suspects that they have answered since the previous one; only from the second crash on does an answer send messages by itself. A refused request is tried once after 30 s, then after 2 and 8 minutes; the run is told as a crash until it is answered, so that other nodes do not try as well, and a request that is mended, or that crashed nothing, is served again.

--- a/src/admission/lru_map.h
+++ b/src/admission/lru_map.h
@@ -5,6 +5,7 @@
 #include <boost/multi_index/sequenced_index.hpp>
 #include <boost/multi_index_container.hpp>
 #include <cstddef>
+#include <utility>
 
 namespace heatherdrift {
 
@@ -24,6 +25,15 @@
         return found == keys.end() ? nullptr : &found->value;
     }
 
+    Value* find(const Key& key) { return const_cast<Value*>(std::as_const(*this).find(key)); }
+
+    /// Marks the entry, which must exist, as the most recently used.
+    void touch(const Key& key)
+    {
+        auto& order = m_entries.template get<0>();
+        order.relocate(order.begin(), m_entries.template project<0>(m_entries.template get<1>().find(key)));
+    }
+
     /// Returns the entry, constructed from the arguments if missing, and marks it as the most recently used.
     template <typename... Arguments> Value& getOrInsert(const Key& key, Arguments&&... arguments)
     {
--- a/src/mesh/internal/crash_exchange.cpp
+++ b/src/mesh/internal/crash_exchange.cpp
@@ -4,6 +4,8 @@
 #include "mesh/internal/peer_transfer.h"
 #include "telemetry/log_event.h"
 
+#include <algorithm>
+
 namespace heatherdrift {
 
 namespace {
@@ -15,7 +17,8 @@
     constexpr int maxAttempts = 4;
     constexpr auto questionInterval = std::chrono::milliseconds(500);
     constexpr int maxQuestions = 10;
-    constexpr int reportsAfterStart = 2; ///< One of the asked nodes may have started just before.
+    constexpr int wantedReplies = 2; ///< One of the asked nodes may have started just before.
+    constexpr std::size_t maxLoggedSuspects = 16; ///< Bounds a log line.
 
     result<void> parseFingerprint(const json& value, std::vector<request_fingerprint>& out)
     {
@@ -36,6 +39,15 @@
         return crash;
     }
 
+    /// The first crash that names the request; null if none does.
+    const backend_crash* findCrash(const std::vector<backend_crash>& crashes, request_fingerprint request)
+    {
+        const auto found = std::ranges::find_if(crashes, [request](const auto& crash) {
+            return std::ranges::find(crash.suspects, request) != crash.suspects.end();
+        });
+        return found == crashes.end() ? nullptr : &*found;
+    }
+
 } // namespace
 
 std::string toJson(const crash_report& report)
@@ -85,28 +97,64 @@
     return out;
 }
 
-void crash_exchange::onCrash(backend_crash crash)
+void crash_exchange::onCrash(const backend_crash& crash)
 {
-    const auto atWork = crash.suspects;
-    const auto recorded = m_suspects.recordCrash(std::move(crash), boot_clock::now());
+    recordAndTell(crash);
+    std::string counts;
+    for (std::size_t i = 0; i < std::min(crash.suspects.size(), maxLoggedSuspects); ++i)
+        counts.append(i == 0 ? "" : " ").append(std::to_string(m_suspects.crashCount(crash.suspects[i])));
     logEvent(log_event::backend_crashed,
-        { { "backend_server", recorded.life }, { "counted", "yes" }, { "at_work", fingerprintText(atWork) },
-            { "suspects", fingerprintText(recorded.suspects) } });
-    if (!recorded.suspects.empty())
-        tellAll({ { recorded }, {} });
+        { { "backend_server", crash.life }, { "counted", "yes" }, { "at_work", fingerprintText(crash.suspects) },
+            { "crashes", counts } });
+}
+
+void crash_exchange::onRun(request_fingerprint request, const std::string& life)
+{
+    if (!m_suspects.isTrial(request, boot_clock::now()))
+        return;
+    logEvent(log_event::suspect_tried,
+        { { "fingerprint", fingerprintText(request) }, { "backend_server", life },
+            { "crashes", std::to_string(m_suspects.crashCount(request)) } });
+    recordAndTell({ life, { request } });
 }
 
 void crash_exchange::onAnswer(request_fingerprint request)
 {
-    if (m_suspects.recordAnswer(request))
-        tellAll({ {}, { request } });
+    const auto crashes = m_suspects.crashCount(request);
+    if (!m_suspects.recordAnswer(request))
+        return;
+    logEvent(log_event::suspect_cleared,
+        { { "fingerprint", fingerprintText(request) }, { "crashes", std::to_string(crashes) },
+            { "answered_by", m_settings.node } });
+    tellAll({ {}, { request } });
+}
+
+std::vector<request_fingerprint> crash_exchange::record(const backend_crash& crash)
+{
+    const auto now = boot_clock::now();
+    std::set<request_fingerprint> wereRefused;
+    std::ranges::copy_if(crash.suspects, std::inserter(wereRefused, wereRefused.end()),
+        [&](auto request) { return m_suspects.isTrial(request, now); });
+    auto answered = m_suspects.recordCrash(crash, now);
+    for (const auto request : crash.suspects) {
+        if (m_suspects.refusedUntil(request, now) && !wereRefused.contains(request))
+            logEvent(log_event::suspect_refused,
+                { { "fingerprint", fingerprintText(request) }, { "last_crash", crash.life } });
+    }
+    return answered;
+}
+
+void crash_exchange::recordAndTell(const backend_crash& crash)
+{
+    auto answered = record(crash);
+    tellAll({ { crash }, std::move(answered) });
 }
 
 void crash_exchange::tellAll(const crash_report& report)
 {
     const auto body = toJson(report);
     for (const auto& node : otherNodes())
-        send({ node, 0, body });
+        send({ node, 0, body, report.crashes });
 }
 
 void crash_exchange::send(unsent_report report)
@@ -119,20 +167,14 @@
     fetchWithProgress(client, std::move(request), limits,
         [this, report = std::move(report)](const result<http_response>& answer) mutable {
             if (answer.has_value() && answer.value().head.status == 200) {
-                // The node's answer names the requests that are no suspects there.
-                const auto cleared = parseCrashReport(answer.value().body);
-                if (cleared.has_value() && !cleared.value().answered.empty()) {
-                    for (const auto fingerprint : cleared.value().answered)
-                        m_suspects.clear(fingerprint);
-                    tellAll({ {}, cleared.value().answered });
-                }
-                return;
+                return handleReply(report.crashes, answer.value().body);
             }
-            if (++report.attempts >= maxAttempts)
+            if (++report.attempts < maxAttempts) {
+                m_unsent.push_back(std::move(report));
+                if (!m_resend.isPending())
+                    m_resend.startOnce(resendDelay);
                 return;
-            m_unsent.push_back(std::move(report));
-            if (!m_resend.isPending())
-                m_resend.startOnce(resendDelay);
+            }
         });
 }
 
@@ -142,6 +184,25 @@
         send(std::move(report));
 }
 
+/// The node's answer names the suspects that it has answered since their previous crash.
+void crash_exchange::handleReply(const std::vector<backend_crash>& told, std::string_view body)
+{
+    const auto reply = parseCrashReport(body);
+    if (reply.has_error())
+        return logEvent(
+            log_event::peer_message_rejected, { { "target", target }, { "reason", reply.error().message } });
+    crash_report dropped;
+    for (const auto request : reply.value().answered) {
+        const auto* crash = findCrash(told, request);
+        if (!crash || !m_suspects.dropCrashesBefore(request, crash->life))
+            continue;
+        dropped.answered.push_back(request);
+        dropped.crashes.push_back({ crash->life, { request } });
+    }
+    if (!dropped.answered.empty())
+        tellAll(dropped);
+}
+
 void crash_exchange::askAfterStart()
 {
     if (m_questions == 0)
@@ -163,38 +224,35 @@
             if (report.has_error())
                 return m_askTimer.startOnce(questionInterval);
             apply(report.value());
-            if (++m_reports < reportsAfterStart)
+            if (++m_replies < wantedReplies)
                 ask();
         });
 }
 
-void crash_exchange::apply(const crash_report& report)
+std::vector<request_fingerprint> crash_exchange::apply(const crash_report& report)
 {
+    std::vector<request_fingerprint> answered;
     for (const auto& crash : report.crashes)
-        m_suspects.merge(crash, boot_clock::now());
-    for (const auto request : report.answered)
-        m_suspects.clear(request);
+        std::ranges::copy(record(crash), std::back_inserter(answered));
+    for (const auto request : report.answered) {
+        if (const auto* crash = findCrash(report.crashes, request))
+            m_suspects.dropCrashesBefore(request, crash->life);
+        else
+            m_suspects.clear(request);
+    }
+    return answered;
 }
 
 void crash_exchange::handle(const http_exchange_ptr& exchange)
 {
-    if (exchange->request().method == "GET") {
-        const auto& known = m_suspects.crashes();
-        return exchange->respond({ { 200, {} }, toJson(crash_report { { known.begin(), known.end() }, {} }) });
-    }
+    if (exchange->request().method == "GET")
+        return exchange->respond({ { 200, {} }, toJson({ m_suspects.crashes(), {} }) });
     const auto report = parseCrashReport(exchange->request().body);
     if (report.has_error()) {
         logEvent(log_event::peer_message_rejected, { { "target", target }, { "reason", report.error().message } });
         return exchange->respond({ { statusBadRequest, {} }, "" });
     }
-    crash_report answer;
-    for (const auto& crash : report.value().crashes) {
-        for (const auto request : m_suspects.merge(crash, boot_clock::now()))
-            answer.answered.push_back(request);
-    }
-    for (const auto request : report.value().answered)
-        m_suspects.clear(request);
-    exchange->respond({ { 200, {} }, toJson(answer) });
+    exchange->respond({ { 200, {} }, toJson({ {}, apply(report.value()) }) });
 }
 
 } // namespace heatherdrift
--- a/src/mesh/internal/crash_exchange.h
+++ b/src/mesh/internal/crash_exchange.h
@@ -5,12 +5,16 @@
 #include "http/http_server.h"
 #include "mesh/internal/mesh_directory.h"
 
+#include <set>
+
 namespace heatherdrift {
 
 /// Crashes and cleared requests, as nodes tell them to each other.
 struct crash_report {
     std::vector<backend_crash> crashes;
-    std::vector<request_fingerprint> answered; ///< Requests that a backend server has answered.
+    /// Requests that a backend server has answered before the crashes of this report, or after all known ones if no
+    /// crash of this report names them.
+    std::vector<request_fingerprint> answered;
 
     bool operator==(const crash_report&) const = default;
 };
@@ -25,10 +29,12 @@
     crash_exchange(event_base*, const mesh_settings&, mesh_directory&, crash_suspects&);
 
     /// The backend server beside this node has crashed.
-    void onCrash(backend_crash);
+    void onCrash(const backend_crash&);
     /// The backend server beside this node has answered a request.
     void onAnswer(request_fingerprint);
-    /// Asks another node of the service for the crashes before the start of this process.
+    /// The request is about to be sent to this backend server.
+    void onRun(request_fingerprint, const std::string& life);
+    /// Asks other nodes of the service for the crashes before the start of this process.
     void askAfterStart();
     /// Handles a report or question of another node.
     void handle(const http_exchange_ptr&);
@@ -40,14 +46,20 @@
         instance_id node;
         int attempts = 0;
         std::string body;
+        std::vector<backend_crash> crashes;
     };
 
     std::vector<instance_id> otherNodes() const;
+    /// Returns the suspects that were answered here before this crash.
+    std::vector<request_fingerprint> record(const backend_crash&);
+    void recordAndTell(const backend_crash&);
     void tellAll(const crash_report&);
     void send(unsent_report);
     void sendAgain();
+    void handleReply(const std::vector<backend_crash>& told, std::string_view body);
     void ask();
-    void apply(const crash_report&);
+    /// Returns the suspects that were answered here before the crashes of the report.
+    std::vector<request_fingerprint> apply(const crash_report&);
 
     const mesh_settings& m_settings;
     mesh_directory& m_directory;
@@ -55,7 +67,7 @@
     std::vector<unsent_report> m_unsent;
     timer m_resend;
     int m_questions = 0;
-    int m_reports = 0;
+    int m_replies = 0;
     timer m_askTimer;
 };
 
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -69,12 +69,13 @@
 void gate_service::recordEndOfLife()
 {
     auto atWork = m_crashes.takeAtWork();
-    const bool hasCrashed = !m_backend.life.empty() && m_closesAt == time_point::max() && !atWork.empty();
-    if (!hasCrashed && !atWork.empty())
-        logEvent(log_event::backend_crashed,
+    if (m_backend.life.empty() || atWork.empty())
+        return;
+    if (m_closesAt != time_point::max())
+        return logEvent(log_event::backend_crashed,
             { { "backend_server", m_backend.life }, { "counted", "no" }, { "reason", "draining" },
                 { "at_work", fingerprintText(atWork) } });
-    if (hasCrashed && m_hooks.onCrashed)
+    if (m_hooks.onCrashed)
         m_hooks.onCrashed({ m_backend.life, std::move(atWork) });
 }
 
@@ -212,6 +213,8 @@
         m_queue.finish(id, std::nullopt);
         return answer(id, crashRefusal(*until, now));
     }
+    if (m_hooks.onRun)
+        m_hooks.onRun(entry.fingerprint, m_backend.life);
     entry.startedAt = now;
     http_request message = entry.request.message;
     m_port.addBackendHeaders(
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -30,6 +30,8 @@
     std::function<void()> onConnectionRefused; ///< The backend server's address refused a connection.
     /// End of the refusal of a request that crashes backend servers; empty if it may run.
     std::function<std::optional<time_point>(request_fingerprint, time_point now)> refusedUntil {};
+    /// The request is about to be sent to the backend server.
+    std::function<void(request_fingerprint, const life_name&)> onRun {};
     std::function<void(request_fingerprint)> onAnswered {}; ///< The backend server has run a request to its answer.
     std::function<void(backend_crash)> onCrashed {}; ///< The backend server ended without a drain, at work on requests.
 };
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -17,6 +17,7 @@
 #include "telemetry/log_event.h"
 
 #include <csignal>
+#include <limits>
 #include <map>
 
 namespace heatherdrift {
@@ -48,6 +49,12 @@
     constexpr const char* metricsPath = "/metrics";
     constexpr std::size_t pipelineDepth = 16; ///< Concurrent requests per caller connection.
 
+    /// Spreads the nodes evenly over the range from 0 to 1.
+    double positionOf(const instance_id& node)
+    {
+        return static_cast<double>(hashBytes(node)) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    }
+
     class mesh_node_impl : public mesh_node {
     public:
         mesh_node_impl(
@@ -58,6 +65,7 @@
             , m_store(std::make_unique<counting_store>(std::move(store), m_metrics))
             , m_directory(base, m_settings)
             , m_sender(base, m_settings.linkBytesPerSecond)
+            , m_suspects({ .trialPosition = positionOf(m_settings.node) })
             , m_gate(base, m_settings, m_port,
                   { [this](key_number key) { return m_ownership.access(key); },
                       [this] { return m_ownership.version(); }, [this] { return m_tables.statement(); },
@@ -68,8 +76,10 @@
                       [this](request_fingerprint request, time_point now) {
                           return m_suspects.refusedUntil(request, now);
                       },
+                      [this](
+                          request_fingerprint request, const life_name& life) { m_crashExchange.onRun(request, life); },
                       [this](request_fingerprint request) { m_crashExchange.onAnswer(request); },
-                      [this](backend_crash crash) { m_crashExchange.onCrash(std::move(crash)); } })
+                      [this](const backend_crash& crash) { m_crashExchange.onCrash(crash); } })
             , m_crashExchange(base, m_settings, m_directory, m_suspects)
             , m_ownership(base, m_settings, *m_store, { rangeTable, m_settings.service },
                   { boot_clock::now, [this] { return candidates(); },
