Tell nodes that were cut off of the crashes that they have missed

A node cut off for longer went on passing a request that crashes backend servers to its own backend server until it had counted three crashes itself.

A node that has not taken a report gets all known crashes once it answers again, and a node whose store comes back, or whose table of nodes is read anew, asks two others. CrashExchangeTest.NodeThatWasCutOffLearnsTheCrashesLater does not end before.

--- a/src/mesh/internal/crash_exchange.cpp
+++ b/src/mesh/internal/crash_exchange.cpp
@@ -18,6 +18,7 @@
     constexpr auto questionInterval = std::chrono::milliseconds(500);
     constexpr int maxQuestions = 10;
     constexpr int wantedReplies = 2; ///< One of the asked nodes may have started just before.
+    constexpr auto missedInterval = std::chrono::seconds(2); ///< Between attempts to reach a node that is behind.
     constexpr std::size_t maxLoggedSuspects = 16; ///< Bounds a log line.
 
     result<void> parseFingerprint(const json& value, std::vector<request_fingerprint>& out)
@@ -83,6 +84,7 @@
     , m_directory(directory)
     , m_suspects(suspects)
     , m_resend(base, [this] { sendAgain(); })
+    , m_missedTimer(base, [this] { sendMissed(); })
     , m_askTimer(base, [this] { ask(); })
 {
 }
@@ -167,6 +169,7 @@
     fetchWithProgress(client, std::move(request), limits,
         [this, report = std::move(report)](const result<http_response>& answer) mutable {
             if (answer.has_value() && answer.value().head.status == 200) {
+                m_behind.erase(report.node);
                 return handleReply(report.crashes, answer.value().body);
             }
             if (++report.attempts < maxAttempts) {
@@ -175,6 +178,9 @@
                     m_resend.startOnce(resendDelay);
                 return;
             }
+            m_behind.insert(report.node);
+            if (!m_missedTimer.isPending())
+                m_missedTimer.startOnce(missedInterval);
         });
 }
 
@@ -184,6 +190,20 @@
         send(std::move(report));
 }
 
+/// A node that was cut off for longer gets all known crashes once it answers again.
+void crash_exchange::sendMissed()
+{
+    std::erase_if(m_behind, [this](const auto& node) { return !m_directory.find(node); });
+    const auto now = boot_clock::now();
+    const auto crashes = m_suspects.crashes();
+    for (const auto& node : m_behind) {
+        if (!m_directory.isUnreachable(*m_directory.find(node), now))
+            send({ node, maxAttempts - 1, toJson({ crashes, {} }), crashes });
+    }
+    if (!m_behind.empty() && !m_missedTimer.isPending())
+        m_missedTimer.startOnce(missedInterval);
+}
+
 /// The node's answer names the suspects that it has answered since their previous crash.
 void crash_exchange::handleReply(const std::vector<backend_crash>& told, std::string_view body)
 {
@@ -203,10 +223,11 @@
         tellAll(dropped);
 }
 
-void crash_exchange::askAfterStart()
+void crash_exchange::askForMissed()
 {
-    if (m_questions == 0)
-        ask();
+    m_questions = 0;
+    m_replies = 0;
+    ask();
 }
 
 void crash_exchange::ask()
--- a/src/mesh/internal/crash_exchange.h
+++ b/src/mesh/internal/crash_exchange.h
@@ -34,8 +34,9 @@
     void onAnswer(request_fingerprint);
     /// The request is about to be sent to this backend server.
     void onRun(request_fingerprint, const std::string& life);
-    /// Asks other nodes of the service for the crashes before the start of this process.
-    void askAfterStart();
+    /// Asks other nodes of the service for the crashes that this node has missed: before the start of this process, or
+    /// while it was cut off.
+    void askForMissed();
     /// Handles a report or question of another node.
     void handle(const http_exchange_ptr&);
 
@@ -56,6 +57,7 @@
     void tellAll(const crash_report&);
     void send(unsent_report);
     void sendAgain();
+    void sendMissed();
     void handleReply(const std::vector<backend_crash>& told, std::string_view body);
     void ask();
     /// Returns the suspects that were answered here before the crashes of the report.
@@ -66,6 +68,8 @@
     crash_suspects& m_suspects;
     std::vector<unsent_report> m_unsent;
     timer m_resend;
+    std::set<instance_id> m_behind; ///< Nodes that have not taken a report in spite of repetitions.
+    timer m_missedTimer;
     int m_questions = 0;
     int m_replies = 0;
     timer m_askTimer;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -146,10 +146,13 @@
                   { [this](const row_change& row) { m_registry.onRowChanged(row); },
                       [this] {
                           m_registry.onTableRead(m_memberWatcher.copy().era());
-                          m_crashExchange.askAfterStart();
+                          m_crashExchange.askForMissed();
                       },
-                      [](bool isAvailable) {
+                      [this](bool isAvailable) {
                           logEvent(isAvailable ? log_event::store_available : log_event::store_unavailable);
+                          // This node may have been cut off from the other nodes, too.
+                          if (isAvailable)
+                              m_crashExchange.askForMissed();
                       },
                       [this] { return m_tables.place(); }, m_random,
                       [this](const row_change& row) { m_registry.onRowMissing(row); },
--- a/src/mesh/tests/crash_exchange_test.cpp
+++ b/src/mesh/tests/crash_exchange_test.cpp
@@ -94,7 +94,7 @@
         start(nodes[3]);
         EXPECT_FALSE(isRefused(nodes[3], lethal));
         introduce(nodes[3]);
-        nodes[3].exchange->askAfterStart();
+        nodes[3].exchange->askForMissed();
         loop.runUntil([&] { return isRefused(nodes[3], lethal); });
     }
 
@@ -135,6 +135,17 @@
         EXPECT_EQ(nodes[0].messages + nodes[1].messages + nodes[2].messages + nodes[3].messages, messagesBefore);
     }
 
+    // Guards against a node that was cut off for longer than reports are repeated and never learns of the crashes.
+    TEST_F(CrashExchangeTest, NodeThatWasCutOffLearnsTheCrashesLater)
+    {
+        nodes[3].refusedMessages = 12;
+        for (int i = 0; i < 3; ++i)
+            nodes[i].exchange->onCrash({ "life-" + std::to_string(i), { lethal } });
+        loop.runUntil([&] { return nodes[3].messages >= 12; });
+        EXPECT_FALSE(isRefused(nodes[3], lethal));
+        loop.runUntil([&] { return isRefused(nodes[3], lethal); });
+    }
+
     // Guards against several nodes that try a refused request at the same time, each with a crash of its own.
     TEST_F(CrashExchangeTest, TrialCountsAsACrashAtAllNodesUntilItIsAnswered)
     {
