Test that the quarantine of heatherdriftd exempts no request for good

The other memory of crashes: a former answer, and an isolated run that was answered, leave nothing behind, so that the request is refused after its second crash.

--- a/src/admission/tests/quarantine_test.cpp
+++ b/src/admission/tests/quarantine_test.cpp
@@ -51,6 +51,23 @@
         EXPECT_EQ(distinct.size(), 1 + std::size(different));
     }
 
+    // Guards against an exemption for good of a request that was answered well before it began to crash backend
+    // servers: alone, among others, and after an isolated run has cleared it.
+    TEST(Quarantine, AnsweredRequestIsRefusedOnceItCrashesBackendServers)
+    {
+        quarantine records;
+        for (int i = 0; i < 10; ++i)
+            EXPECT_EQ(records.decide(poison, start), decision::run);
+        records.recordCrash("unrelated crash", with(others(11), poison), start);
+        EXPECT_EQ(records.decide(poison, start), decision::run_isolated);
+        records.finishIsolatedRun(poison, true, start);
+        EXPECT_EQ(records.decide(poison, start), decision::run);
+        records.recordCrash("crash 1", with(others(11), poison), start);
+        EXPECT_EQ(records.decide(poison, start), decision::run_isolated);
+        records.recordCrash("crash 2", { poison }, start);
+        EXPECT_EQ(records.decide(poison, start), decision::refuse);
+    }
+
     // Guards against a crashing request that runs again and again, and against refusal after one crash, which may have
     // had any cause.
     TEST(Quarantine, RefusesAfterTheSecondCrash)
