Log how long a failed attempt was at the gate

A line of a refused or failed request told how long each attempt took, and not whether it waited at the gate, on the way or in an event loop. In the trace of requests that were held past their route's time on the large fleet, an attempt of 1633 ms that ended as not_owner could be either. A gate now states the time from reading a request to its answer with each answer that is none of the backend server, and logs how long a lost request waited before it was sent.

--- a/src/mesh/forward_protocol.h
+++ b/src/mesh/forward_protocol.h
@@ -61,6 +61,8 @@
     bool reachedBackend = false; ///< The backend server received the request, whether it ran it or not.
     http_response response; ///< Response of the backend server, if it answered.
     duration retryAfter {}; ///< For a refusal: expected time until a slot is free.
+    /// From the moment at which the gate read the request to its answer; known if the backend server has not answered.
+    duration timeAtGate {};
     gate_load load;
 };
 
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -235,6 +235,8 @@
     else
         m_attemptLog.append(toString(answer.outcome)).append("/").append(toString(answer.reason));
     m_attemptLog.append(":").append(millisecondsText(now - m_attempt->startedAt));
+    if (answer.timeAtGate > duration::zero())
+        m_attemptLog.append(":").append(millisecondsText(answer.timeAtGate));
     m_attempt.reset();
     if (answer.reachedBackend)
         ++m_backendAttempts;
--- a/src/mesh/internal/entry_call.h
+++ b/src/mesh/internal/entry_call.h
@@ -51,7 +51,7 @@
     int m_refusals = 0; ///< Attempts that a gate refused or that did not reach a gate.
     std::vector<instance_id> m_tried;
     std::optional<attempt> m_attempt;
-    std::string m_attemptLog; ///< Completed attempts for the log: node, result and milliseconds of each.
+    std::string m_attemptLog; ///< Completed attempts for the log: node, result, milliseconds, and those at the gate.
     time_point m_receivedAt;
     std::optional<gate_answer> m_lastAnswer;
     std::optional<gate_answer> m_serverFailure; ///< Error response of a backend server; returned if no retry succeeds.
--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -24,6 +24,7 @@
     constexpr const char* errorHeader = "heatherdrift-error";
     constexpr const char* reachedHeader = "heatherdrift-reached-backend";
     constexpr const char* retryAfterHeader = "heatherdrift-retry-after-us";
+    constexpr const char* timeAtGateHeader = "heatherdrift-time-at-gate-us";
     constexpr const char* lifeHeader = "heatherdrift-life";
     constexpr const char* loadHeader = "heatherdrift-load-permille";
     constexpr const char* demandHeader = "heatherdrift-demand-permille";
@@ -184,6 +185,7 @@
         out.head.status = statusRefused;
         headers.add(errorHeader, std::string(toString(answer.reason)));
         headers.add(retryAfterHeader, microseconds(answer.retryAfter));
+        headers.add(timeAtGateHeader, microseconds(answer.timeAtGate));
     }
     headers.add(verdictHeader, std::string(toString(answer.outcome)));
     if (answer.reachedBackend)
@@ -218,6 +220,7 @@
     answer.outcome = *outcome;
     answer.reason = parseErrorCode(reader.text(errorHeader)).value_or(error_code::internal);
     answer.retryAfter = duration(reader.numberIn(retryAfterHeader, 0, maxRetryAfter));
+    answer.timeAtGate = duration(reader.numberIn(timeAtGateHeader, 0, maxTimeout));
     // A request that may have run has reached the backend server, with or without the header.
     answer.reachedBackend = !reader.text(reachedHeader).empty() || answer.outcome != verdict::not_run;
     answer.load.life = reader.text(lifeHeader);
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -147,7 +147,7 @@
         return id;
     }
     m_origins.record(request.route, request.callerService);
-    m_requests[id] = { std::move(request), std::move(onAnswer), false, deliveryTime, std::move(hasCallerLeft), {},
+    m_requests[id] = { std::move(request), std::move(onAnswer), false, deliveryTime, std::move(hasCallerLeft), now, {},
         nullptr, fingerprint };
     submit(id);
     return id;
@@ -253,6 +253,7 @@
             { { "request", found->second.request.id }, { "reason", std::string(toString(classified.reason)) },
                 { "fingerprint", fingerprintText(fingerprint) }, { "detail", detail },
                 { "backend_server", m_backend.id }, { "route", found->second.request.route },
+                { "waited_ms", millisecondsText(found->second.startedAt - found->second.receivedAt) },
                 { "ran_ms",
                     std::to_string(
                         std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.startedAt).count()) },
@@ -298,6 +299,7 @@
     if (found == m_requests.end())
         return;
     const auto call = std::move(found->second.answer);
+    result.timeAtGate = boot_clock::now() - found->second.receivedAt;
     if (found->second.isAwaitingKey)
         --m_awaitingKeys;
     m_requests.erase(found);
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -89,6 +89,7 @@
         bool isAwaitingKey = false;
         duration deliveryTime {};
         caller_check hasCallerLeft;
+        time_point receivedAt {};
         time_point startedAt {};
         http_call_ptr call;
         request_fingerprint fingerprint = 0;
--- a/src/mesh/tests/forward_protocol_test.cpp
+++ b/src/mesh/tests/forward_protocol_test.cpp
@@ -107,6 +107,18 @@
         }
     }
 
+    // Guards against a late refusal whose log line does not tell a wait at the gate from one on the way to it.
+    TEST(ForwardProtocol, RefusalTellsTheTimeAtTheGate)
+    {
+        gate_answer refused;
+        refused.timeAtGate = std::chrono::milliseconds(1633);
+        EXPECT_EQ(decodeAnswer(encodeAnswer(refused)).value().timeAtGate, refused.timeAtGate);
+        // A node of the former version does not state it.
+        auto message = encodeAnswer(refused);
+        message.head.headers.remove("heatherdrift-time-at-gate-us");
+        EXPECT_EQ(decodeAnswer(message).value().timeAtGate, duration::zero());
+    }
+
     // Guards against accepting a request that was not forwarded by a node.
     TEST(ForwardProtocol, PlainRequestIsRejected)
     {
