Ignore eras of the store that no store can have stated

A message between owners with an era above 8,191, or with text behind the number, made a node take its range map for one of an earlier era, so that it granted nothing new for good. The number was read without a bound and up to the first other character. MeshNodeTest.EraThatNoStoreStatesIsIgnored fails without the change for "8192", the largest number and "5x".

--- a/src/base/store_types.h
+++ b/src/base/store_types.h
@@ -20,6 +20,7 @@
 /// Bits of the store's number; versions and the fencing tokens made from them stay exact in a JSON number (53 bits) for
 /// 8,191 eras.
 constexpr int storeNumberBits = 40;
+constexpr store_era maxEra = 8191; ///< An era above it is not one that a store has stated.
 
 constexpr row_version makeVersion(store_era era, std::int64_t number) { return (era << storeNumberBits) | number; }
 constexpr store_era eraOf(row_version version) { return version >> storeNumberBits; }
--- a/src/mesh/internal/owner_exchange.cpp
+++ b/src/mesh/internal/owner_exchange.cpp
@@ -39,8 +39,10 @@
         constexpr store_era noEra = -1;
         const auto text = headers.find(eraHeader).value_or("");
         store_era era = noEra;
-        const bool isNumber = std::from_chars(text.data(), text.data() + text.size(), era).ec == std::errc();
-        return isNumber ? era : noEra;
+        const auto* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, era);
+        const bool isEra = parsed.ec == std::errc() && parsed.ptr == end && era <= maxEra;
+        return isEra ? era : noEra;
     }
 
     /// Without the header the result is one hour, which is too old to confirm anything.
--- a/src/mesh/tests/mesh_node_test.cpp
+++ b/src/mesh/tests/mesh_node_test.cpp
@@ -212,5 +212,21 @@
         EXPECT_EQ(runs.size(), 2u);
     }
 
+    // Guards against a message that makes a node take its range map for one of an earlier era of the store for good.
+    TEST_F(MeshNodeTest, EraThatNoStoreStatesIsIgnored)
+    {
+        startNodes();
+        const auto statedEraAfter = [&](const std::string& era) {
+            http_request request { "GET", owner_exchange::target,
+                { { targetNodeHeader, "owner" }, { "heatherdrift-store-era", era } }, "" };
+            const auto answer = loop.fetch(owner->settings().forward, std::move(request)).value();
+            return std::string(answer.head.headers.find("heatherdrift-store-era").value_or(""));
+        };
+        const auto initial = statedEraAfter("-1");
+        for (const auto* era : { "8192", "9223372036854775807", "99999999999999999999", "5x", "x", "" })
+            EXPECT_EQ(statedEraAfter(era), initial) << era;
+        EXPECT_EQ(statedEraAfter("8191"), "8191");
+    }
+
 } // namespace
 } // namespace heatherdrift
