Read the answer to an outcome inquiry without exceptions

heatherdriftd asks the owner's node for the outcome of a call whose connection was lost. A state that is no text in its answer threw out of an event callback and ended the process, with all calls of other callers. It is read as unknown now. InquiryAnswer.MalformedAnswersStateNothing names the cases; the function was private to the entry before, so that the test was not run against the old code.

--- a/src/routing/internal/entry_call.cpp
+++ b/src/routing/internal/entry_call.cpp
@@ -36,19 +36,6 @@
     /// Errors after which a call without key ownership may be sent to another member.
     bool dependsOnMember(error_code code) { return dependsOnRoute(code) || code == error_code::overloaded; }
 
-    request_state parseState(std::string_view body)
-    {
-        const auto document = json::parse(body, nullptr, false);
-        if (!document.is_object())
-            return request_state::unknown;
-        const auto text = document.value("state", "");
-        for (const auto state : { request_state::refused, request_state::running, request_state::answered }) {
-            if (text == toString(state))
-                return state;
-        }
-        return request_state::unknown;
-    }
-
 } // namespace
 
 entry_call::entry_call(entry_router& router, http_exchange_ptr exchange, std::string requestId)
@@ -253,7 +240,7 @@
         return;
     if (answer.has_error() || answer.value().head.status != 200)
         return retryOrFail(reason);
-    switch (parseState(answer.value().body)) {
+    switch (parseInquiryAnswer(answer.value().body)) {
     case request_state::refused:
         return retryOrFail(notRun(reason.code, "the owner's node will not run the request"));
     case request_state::answered:
--- a/src/routing/internal/request_ledger.cpp
+++ b/src/routing/internal/request_ledger.cpp
@@ -1,5 +1,7 @@
 #include "routing/request_ledger.h"
 
+#include "base/json_reader.h"
+
 #include <algorithm>
 
 namespace heatherdrift {
@@ -19,6 +21,19 @@
     return "unknown";
 }
 
+request_state parseInquiryAnswer(std::string_view body)
+{
+    const auto document = json::parse(body, nullptr, false);
+    const auto text = document.is_object() ? document.find("state") : document.end();
+    if (!document.is_object() || text == document.end() || !text->is_string())
+        return request_state::unknown;
+    for (const auto state : { request_state::refused, request_state::running, request_state::answered }) {
+        if (*text == toString(state))
+            return state;
+    }
+    return request_state::unknown;
+}
+
 bool request_ledger::begin(const std::string& requestId, time_point now)
 {
     evictExpired(now);
--- a/src/routing/request_ledger.h
+++ b/src/routing/request_ledger.h
@@ -18,6 +18,8 @@
 };
 
 std::string_view toString(request_state);
+/// The state in the answer to an inquiry; `unknown` if it states none.
+request_state parseInquiryAnswer(std::string_view body);
 
 struct request_ledger_limits {
     duration recordRetention = std::chrono::seconds(20); ///< How long the final state of a request is kept.
--- a/src/routing/tests/request_ledger_test.cpp
+++ b/src/routing/tests/request_ledger_test.cpp
@@ -17,6 +17,18 @@
         return limits;
     }
 
+    // Guards against an answer of another node that ends the process, or that counts as proof that a request has not
+    // run.
+    TEST(InquiryAnswer, MalformedAnswersStateNothing)
+    {
+        for (const auto* body :
+            { "", "{", "[]", "{}", R"({"state":7})", R"({"state":null})", R"({"state":["refused"]})",
+                R"({"state":{"state":"refused"}})", R"({"state":"Refused"})", R"({"state":"unknown"})" })
+            EXPECT_EQ(parseInquiryAnswer(body), request_state::unknown) << body;
+        EXPECT_EQ(parseInquiryAnswer(R"({"state":"refused"})"), request_state::refused);
+        EXPECT_EQ(parseInquiryAnswer(R"({"state":"answered","more":1})"), request_state::answered);
+    }
+
     // Guards against reporting "refused" for a request that arrives after the inquiry and is then run.
     TEST(RequestLedger, ARefusedRequestNeverBegins)
     {
