heatherdriftd: take no answer without a verdict for proof that a call has not run

A call whose owner's node answered without a verdict ended as not_run, since the HTTP listener of a node rejects what it cannot read without one. Any other process at that address answers so as well, and the call may have run there. The listener for other nodes now states not_run with its rejections, as that of the platform's node does, and an answer without a verdict ends as may_have_run. RequestPathTest.AnswerWithoutAVerdictIsNoProofThatTheCallHasNotRun and RejectionByTheOwnersListenerStatesThatTheCallHasNotRun fail without the change.

--- a/src/routing/internal/entry_call.cpp
+++ b/src/routing/internal/entry_call.cpp
@@ -132,8 +132,8 @@
         return stated;
     if (head.headers.find(header::verdict))
         return std::nullopt;
-    // A node's HTTP listener rejects malformed or oversized requests without a verdict, before any processing.
-    return notRun(error_code::bad_request, "the owner's node refused the request");
+    // Whatever has answered, it states nothing of the request.
+    return mayHaveRun(error_code::internal, "the owner's node answered without a verdict");
 }
 
 void entry_call::onHead(const http_response_head& head)
--- a/src/routing/internal/request_task.cpp
+++ b/src/routing/internal/request_task.cpp
@@ -77,6 +77,8 @@
     BOOST_OUTCOME_TRY(forward,
         http_server::listen(m_base, m_settings.forward, m_settings.listeners,
             [this](http_exchange_ptr exchange) { handleForward(std::move(exchange)); }));
+    forward->setRejectionHeaders({ { header::verdict, std::string(toString(verdict::not_run)) },
+        { header::error, std::string(toString(error_code::bad_request)) } });
     m_entry = std::move(entry);
     m_forward = std::move(forward);
     return outcome::success();
--- a/src/routing/tests/request_path_test.cpp
+++ b/src/routing/tests/request_path_test.cpp
@@ -41,6 +41,39 @@
         }
     }
 
+    // Guards against "not run" for a call whose answer states no verdict: it comes from a process of another kind at
+    // the owner's former address.
+    TEST_F(RequestPathTest, AnswerWithoutAVerdictIsNoProofThatTheCallHasNotRun)
+    {
+        std::vector<std::string> tokens;
+        for (int i = 0; i < 4; ++i)
+            tokens.push_back(token("a"));
+        nodes["b"].task.reset();
+        for (const int status : { 200, 400, 413, 503 }) {
+            const auto other
+                = http_server::listen(base.get(), { "127.0.0.1", 0 }, {}, [status](const http_exchange_ptr& exchange) {
+                      exchange->respond({ { status, {} }, "" });
+                  }).value();
+            unreachableAddress = other->address();
+            nodes["b"].self = { "b", nodes["b"].self.number + 1 };
+            assignAll("b");
+            EXPECT_EQ(verdictOf(request("a", "once", { { header::token, tokens.back() } })), "may_have_run") << status;
+            tokens.pop_back();
+        }
+    }
+
+    // Guards against "may have run" for a call that the owner's node could not read.
+    TEST_F(RequestPathTest, RejectionByTheOwnersListenerStatesThatTheCallHasNotRun)
+    {
+        const auto client = http_client::create(base.get(), nodes["b"].task->forwardAddress(), 1);
+        std::optional<result<http_response>> answer;
+        fetch(*client, { "POST", "/" + std::string(100'000, 'a'), {}, "" },
+            boot_clock::now() + std::chrono::minutes(30), 1 << 20,
+            [&](result<http_response> response) { answer = std::move(response); });
+        runUntil([&] { return answer.has_value(); });
+        EXPECT_EQ(verdictOf(answer->value()), "not_run");
+    }
+
     // Guards against a call that is started without a valid lease, and against a refusal with another verdict than
     // not_run.
     TEST_F(RequestPathTest, OwnerWithoutALeaseRunsNothing)
