Bound the bodies of requests together with those of answers

Cause: a body was held about four times on each hop, in the request that was read, the one routed, the message to the gate or backend server and the output of its connection, and nothing bounded the bytes of all requests.

Copies of a request share its body now (message_body), and a large one is written from there. The budget for answers covers the bodies of requests on both hops: three quarters of the node's memory, in which an answer counts three times, as before, and a request once. The memory for a body of announced length is taken before it is read. Without room the request is refused with 503 and Retry-After, between nodes as not_run and overloaded; a body that is still read makes room for smaller messages. Bodies below 16 KB do not count.

--- a/src/ctl/tests/apply_test.cpp
+++ b/src/ctl/tests/apply_test.cpp
@@ -40,7 +40,7 @@
         const json expected { { "version", 8 }, { "is_changed", true }, { "in_force", true },
             { "lagging", json::array() } };
         EXPECT_EQ(json::parse(result.out), expected);
-        const auto sent = json::parse(node.requests("PUT").at(0).body);
+        const auto sent = json::parse(node.requests("PUT").at(0).body.text());
         EXPECT_EQ(sent["base_version"], 7);
         EXPECT_EQ(sent["configuration"], exampleDocument());
     }
@@ -115,7 +115,7 @@
         fake_admin node(nodeThat(
             failureResponse(409, "not_run", "conflict", "look at version 7"), json::array(), exampleDocument()));
         EXPECT_EQ(run(node, { "apply", exampleFile(), "--base_version=6" }).code, exit_code::failed);
-        EXPECT_EQ(json::parse(node.requests("PUT").at(0).body)["base_version"], 6);
+        EXPECT_EQ(json::parse(node.requests("PUT").at(0).body.text())["base_version"], 6);
     }
 
     // Guards against a program that depends on one node.
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -94,6 +94,7 @@
 struct answer_memory {
     std::size_t bodyLimit = 0;
     std::shared_ptr<byte_budget> budget {}; ///< Of all messages; may be null.
+    std::size_t copies = 1; ///< Of the answer that may exist at the same time; each counts against the budget.
 };
 
 /// The same, for a server whose answers name their requests.
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/message_body.h"
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,8 +11,6 @@
 
 namespace heatherdrift {
 
-class byte_share;
-
 /// Header fields in order; names compare without case.
 class http_headers {
 public:
@@ -38,7 +38,7 @@
     std::string method = "GET";
     std::string target = "/"; ///< Path and query.
     http_headers headers;
-    std::string body;
+    message_body body;
 
     bool operator==(const http_request&) const = default;
 };
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/failure.h"
 #include "base/identifiers.h"
+#include "http/byte_budget.h"
 #include "http/http_message.h"
 
 #include <event2/event.h>
@@ -73,6 +74,9 @@
     virtual void setLimits(const http_server_limits&) = 0;
     /// Fields of the answers with status 400, 413 and 431 that the server gives by itself.
     virtual void setRejectionHeaders(http_headers) = 0;
+    /// Bounds the bodies of all requests. One for which there is no room is rejected with status 503 and these fields,
+    /// before its body is read if its length is announced.
+    virtual void setMemory(std::shared_ptr<byte_budget>, http_headers rejectionHeaders) = 0;
     /// Closes the listening socket; exchanges in progress go on.
     virtual void stopListening() = 0;
     /// From now on each connection is closed after the answer to the last request that has arrived on it.
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -126,9 +126,8 @@
         m_parser.expectNoBody();
     const std::string head = requestHead(request, m_peerName);
     if (m_isConnected)
-        return sendOutput(m_stream.get(), { head, request.body });
-    bufferevent_write(m_stream.get(), head.data(), head.size());
-    bufferevent_write(m_stream.get(), request.body.data(), request.body.size());
+        return sendOutput(m_stream.get(), head, request.body);
+    appendOutput(m_stream.get(), head, request.body);
 }
 
 void client_connection::watchIdle(std::function<void()> onLost)
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -274,6 +274,7 @@
     public:
         collected_answer(const answer_memory& memory, std::function<void(result<http_response>)> done)
             : m_bodyLimit(memory.bodyLimit)
+            , m_copies(memory.copies)
             , m_done(std::move(done))
         {
             if (memory.budget)
@@ -301,7 +302,7 @@
                 return;
             if (m_response.body.size() + data.size() > m_bodyLimit)
                 return giveUp("more than " + std::to_string(m_bodyLimit) + " bytes");
-            if (m_share && !m_share->grow(data.size()))
+            if (m_share && !m_share->grow(data.size() * m_copies))
                 return giveUp("no memory for " + std::to_string(data.size()) + " more bytes");
             m_response.body.append(data);
         }
@@ -332,6 +333,7 @@
         }
 
         std::size_t m_bodyLimit;
+        std::size_t m_copies;
         std::function<void(result<http_response>)> m_done;
         std::shared_ptr<byte_share> m_share;
         http_response m_response;
--- a/src/http/internal/http_server.cpp
+++ b/src/http/internal/http_server.cpp
@@ -60,6 +60,11 @@
         endpoint address() const override { return m_address; }
         void setLimits(const http_server_limits& limits) override { m_context->limits = limits; }
         void setRejectionHeaders(http_headers headers) override { m_context->rejectionHeaders = std::move(headers); }
+        void setMemory(std::shared_ptr<byte_budget> budget, http_headers rejectionHeaders) override
+        {
+            m_context->memory = std::move(budget);
+            m_context->overloadHeaders = std::move(rejectionHeaders);
+        }
         void stopListening() override { m_listener = nullptr; }
         void closeAfterAnswers() override { m_context->closesAfterAnswers = true; }
         void closeIdle() override
--- a/src/http/internal/server_connection.cpp
+++ b/src/http/internal/server_connection.cpp
@@ -10,6 +10,11 @@
 
     /// Bytes that a client may send ahead of the answers to its requests.
     constexpr std::size_t pipelinedBytes = 64 * 1024;
+    constexpr std::size_t minCountedBytes = 16 * 1024; ///< Smaller bodies do not count against the memory for bodies.
+    constexpr int statusBadRequest = 400;
+    constexpr int statusTooLarge = 413;
+    constexpr int statusHeadTooLarge = 431;
+    constexpr int statusUnavailable = 503;
     /// Time for the client to read the last answer over a slow link and to close the connection. Closing earlier may
     /// cut the answer (mondego-mesh-grown scale-1: a download was cut 1 s after it was written).
     constexpr auto lingerTime = std::chrono::seconds(5);
@@ -27,13 +32,7 @@
     , m_stream(bufferevent_socket_new(m_context->base, descriptor, BEV_OPT_CLOSE_ON_FREE))
     , m_isFromOwnHost(localAddress(descriptor).ip == remoteAddress(descriptor).ip)
     , m_parser(message_parser::side::requests, m_context->limits.headerBytes,
-          { [this] { return acceptHead(); },
-              [this](std::string_view part) {
-                  if (m_body.size() + part.size() > m_context->limits.bodyBytes)
-                      m_isBodyTooLarge = true;
-                  else
-                      m_body.append(part);
-              },
+          { [this] { return acceptHead(); }, [this](std::string_view part) { appendToBody(part); },
               [this] { return acceptRequest(); } })
     , m_idle(m_context->base, [this] { close(); })
 {
@@ -61,6 +60,7 @@
     bufferevent_setcb(m_stream.get(), nullptr, nullptr, nullptr, nullptr);
     m_stream = nullptr;
     m_unsentMemory.clear();
+    m_memory = nullptr;
     const auto exchanges = std::exchange(m_exchanges, {});
     for (const auto& exchange : exchanges)
         exchange->notifyClosed();
@@ -83,24 +83,67 @@
 
 bool server_connection::acceptHead()
 {
-    m_body.clear();
-    m_isBodyTooLarge = m_parser.announcedLength() > m_context->limits.bodyBytes;
+    m_body = std::string();
+    m_memory = nullptr;
+    const auto announced = m_parser.announcedLength();
+    m_isBodyTooLarge = announced > m_context->limits.bodyBytes;
     if (m_isBodyTooLarge || m_parser.method() == "CONNECT")
         return false;
+    if (announced >= minCountedBytes && !takeMemory(announced))
+        return false;
+    m_body.reserve(announced);
     if (expectsContinue(m_parser.headers()) && m_exchanges.empty()) {
         static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-        sendOutput(m_stream.get(), { interim });
+        sendOutput(m_stream.get(), interim);
     }
     return true;
 }
 
+bool server_connection::takeMemory(std::size_t bytes)
+{
+    if (!m_context->memory)
+        return true;
+    if (!m_memory)
+        m_memory = m_context->memory->openShare([this] { giveBodyUp(); });
+    if (!m_memory->grow(bytes))
+        giveBodyUp();
+    return !m_isBodyGivenUp;
+}
+
+void server_connection::appendToBody(std::string_view part)
+{
+    if (m_isBodyGivenUp)
+        return;
+    const auto size = m_body.size() + part.size();
+    if (size > m_context->limits.bodyBytes) {
+        m_isBodyTooLarge = true;
+        return;
+    }
+    // The memory for a body of announced length was taken with its head.
+    const bool isCounted = m_parser.announcedLength() == 0 && size >= minCountedBytes;
+    if (!isCounted || takeMemory(m_memory ? part.size() : size))
+        m_body.append(part);
+}
+
+void server_connection::giveBodyUp()
+{
+    m_isBodyGivenUp = true;
+    m_memory = nullptr;
+    m_body = std::string();
+    // Another connection has needed the memory; otherwise the parser's caller rejects the request.
+    if (!m_isParsing)
+        rejectUnreadable();
+}
+
 bool server_connection::acceptRequest()
 {
-    if (m_isBodyTooLarge)
+    if (m_isBodyTooLarge || m_isBodyGivenUp)
         return false;
+    if (m_memory)
+        m_memory->complete();
     http_request request { std::string(m_parser.method()), m_parser.target(), std::move(m_parser.headers()),
-        std::move(m_body) };
-    m_body.clear();
+        message_body(std::move(m_body), std::move(m_memory)) };
+    m_body = std::string();
     auto exchange = std::make_shared<server_exchange>(
         shared_from_this(), std::move(request), std::exchange(m_isFirstRequest, false), m_parser.keepsAlive());
     m_exchanges.push_back(exchange);
@@ -126,10 +169,8 @@
         if (!m_stream)
             break;
         evbuffer_drain(bufferevent_get_input(m_stream.get()), taken);
-        if (m_isBodyTooLarge)
-            reject(413);
-        else if (m_parser.hasFailed())
-            reject(m_parser.isHeadTooLarge() ? 431 : 400);
+        if (m_isBodyTooLarge || m_isBodyGivenUp || m_parser.hasFailed())
+            rejectUnreadable();
         m_parser.proceed();
     }
     m_isParsing = false;
@@ -137,12 +178,21 @@
         restartIdleTimer();
 }
 
-void server_connection::reject(int status)
+void server_connection::rejectUnreadable()
+{
+    if (m_isBodyGivenUp)
+        return reject(statusUnavailable, m_context->overloadHeaders);
+    if (m_isBodyTooLarge)
+        return reject(statusTooLarge, m_context->rejectionHeaders);
+    reject(m_parser.isHeadTooLarge() ? statusHeadTooLarge : statusBadRequest, m_context->rejectionHeaders);
+}
+
+void server_connection::reject(int status, http_headers headers)
 {
     m_isReading = false;
     auto exchange = std::make_shared<server_exchange>(shared_from_this(), http_request {}, false, false);
     m_exchanges.push_back(exchange);
-    exchange->respond({ { status, m_context->rejectionHeaders }, "" });
+    exchange->respond({ { status, std::move(headers) }, "" });
 }
 
 void server_connection::exchangeChanged()
@@ -179,7 +229,7 @@
         if (isLast)
             m_isReading = false;
         const std::string output = exchange->takeOutput(isLast);
-        sendOutput(m_stream.get(), { output });
+        sendOutput(m_stream.get(), output);
         if (!exchange->isFinished()) {
             // The handler is told that the output is written after it has returned.
             if (bufferedBytes() == 0)
--- a/src/http/internal/server_connection.h
+++ b/src/http/internal/server_connection.h
@@ -17,6 +17,8 @@
     http_server_limits limits;
     http_handler handler;
     http_headers rejectionHeaders;
+    std::shared_ptr<byte_budget> memory; ///< For the bodies of requests; may be null.
+    http_headers overloadHeaders; ///< Of the rejection of a request for which there is no memory.
     bool closesAfterAnswers = false;
     std::function<void(class server_connection*)> forget; ///< Drops the server's reference to a closed connection.
 };
@@ -54,7 +56,12 @@
     bool acceptHead();
     bool acceptRequest();
     void parseInput();
-    void reject(int status);
+    /// Whether there is memory for more bytes of the body.
+    bool takeMemory(std::size_t bytes);
+    void appendToBody(std::string_view);
+    void giveBodyUp();
+    void rejectUnreadable();
+    void reject(int status, http_headers);
     void flush();
     bool isLastAnswer() const;
     void closeAfterFlush();
@@ -67,6 +74,8 @@
     message_parser m_parser;
     std::string m_body;
     bool m_isBodyTooLarge = false;
+    bool m_isBodyGivenUp = false; ///< There is no memory for it.
+    std::shared_ptr<byte_share> m_memory; ///< For the body that is being read; null if it is small.
     std::deque<std::shared_ptr<server_exchange>> m_exchanges; ///< Not completely written, oldest first.
     /// Shares of the answers whose last bytes wait in the output of the connection.
     std::vector<std::shared_ptr<byte_share>> m_unsentMemory;
--- a/src/http/internal/stream.cpp
+++ b/src/http/internal/stream.cpp
@@ -74,14 +74,40 @@
     bufferevent_set_max_single_write(stream, maxTransferBytes);
 }
 
-void sendOutput(bufferevent* stream, std::initializer_list<std::string_view> parts)
+namespace {
+
+    /// Below this size a copy costs less than the bookkeeping for a reference.
+    constexpr std::size_t minReferencedBytes = 16 * 1024;
+
+    void appendBody(evbuffer* output, const message_body& body)
+    {
+        const auto& text = body.text();
+        if (text.size() < minReferencedBytes) {
+            evbuffer_add(output, text.data(), text.size());
+            return;
+        }
+        auto* owner = new message_body(body);
+        evbuffer_add_reference(
+            output, text.data(), text.size(),
+            [](const void*, std::size_t, void* owned) { delete static_cast<message_body*>(owned); }, owner);
+    }
+
+} // namespace
+
+void appendOutput(bufferevent* stream, std::string_view head, const message_body& body)
+{
+    auto* output = bufferevent_get_output(stream);
+    evbuffer_add(output, head.data(), head.size());
+    appendBody(output, body);
+}
+
+void sendOutput(bufferevent* stream, std::string_view head, const message_body& body)
 {
     auto* output = bufferevent_get_output(stream);
     const bool isWaiting = evbuffer_get_length(output) > 0;
     if (!isWaiting)
         bufferevent_disable(stream, EV_WRITE);
-    for (const auto part : parts)
-        evbuffer_add(output, part.data(), part.size());
+    appendOutput(stream, head, body);
     if (isWaiting || evbuffer_get_length(output) == 0)
         return;
     // The stream keeps others from reading its output.
--- a/src/http/internal/stream.h
+++ b/src/http/internal/stream.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "base/identifiers.h"
+#include "http/message_body.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <initializer_list>
 #include <memory>
 #include <string_view>
 
@@ -31,9 +31,12 @@
 bool isEnded(int descriptor);
 /// Lets a turn of the event loop read and write more bytes than by default.
 void raiseTransferSizes(bufferevent*);
-/// Appends the parts to the output of a connected stream and writes what the socket takes at once; the event loop
-/// writes the rest. Without it, each message takes two changes of the watched events and another turn of the loop.
-void sendOutput(bufferevent*, std::initializer_list<std::string_view> parts);
+/// Appends a message to the output of a connected stream and writes what the socket takes at once; the event loop
+/// writes the rest. Without it, each message takes two changes of the watched events and another turn of the loop. A
+/// large body is not copied; its bytes stay alive until they are written.
+void sendOutput(bufferevent*, std::string_view head, const message_body& = {});
+/// The same for a stream that is not connected yet: nothing is written.
+void appendOutput(bufferevent*, std::string_view head, const message_body&);
 /// Bytes of the buffer that lie in one piece at its start.
 std::string_view firstPiece(evbuffer*);
 
--- a/src/http/tests/http_test.cpp
+++ b/src/http/tests/http_test.cpp
@@ -50,7 +50,7 @@
         auto server = listen([](http_exchange_ptr exchange) {
             const auto& request = exchange->request();
             exchange->respond({ { 201, { { "seen", request.method + " " + request.target } } },
-                request.body + std::string(request.headers.find("X-Test").value_or("")) });
+                request.body.text() + std::string(request.headers.find("X-Test").value_or("")) });
         });
         auto client = http_client::create(base.get(), server->address(), 1);
         const auto answer = fetchOnce(*client, { "POST", "/a?b=c", { { "x-test", "value" } }, "body-" });
--- a/src/mesh/forward_protocol.h
+++ b/src/mesh/forward_protocol.h
@@ -78,6 +78,8 @@
 http_response encodeAnswer(gate_answer);
 /// Fields of an answer by which a node states that it has not run a request that it could not read.
 http_headers rejectionHeaders();
+/// The same for a request that it had no memory for.
+http_headers overloadHeaders(duration retryAfter);
 result<gate_answer> decodeAnswer(http_response);
 
 } // namespace heatherdrift
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -1,7 +1,7 @@
 #include "mesh/internal/entry_call.h"
 
-#include "mesh/internal/answer_limits.h"
 #include "mesh/internal/answer_status.h"
+#include "mesh/internal/message_memory.h"
 #include "mesh/internal/retry_time.h"
 
 #include <algorithm>
--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -209,6 +209,13 @@
         { errorHeader, std::string(toString(error_code::bad_request)) } };
 }
 
+http_headers overloadHeaders(duration retryAfter)
+{
+    return { { verdictHeader, std::string(toString(verdict::not_run)) },
+        { errorHeader, std::string(toString(error_code::overloaded)) },
+        { retryAfterHeader, microseconds(retryAfter) } };
+}
+
 result<gate_answer> decodeAnswer(http_response response)
 {
     gate_answer answer;
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -1,7 +1,7 @@
 #include "mesh/internal/gate_service.h"
 
-#include "mesh/internal/answer_limits.h"
 #include "mesh/internal/answer_status.h"
+#include "mesh/internal/message_memory.h"
 #include "telemetry/log_event.h"
 
 namespace heatherdrift {
@@ -41,7 +41,7 @@
 gate_service::gate_service(event_base* base, const mesh_settings& settings, const platform_port& port, gate_hooks hooks)
     : m_settings(settings)
     , m_port(port)
-    , m_memory(byte_budget::create(settings.memoryBytes / answerMemoryDivisor))
+    , m_memory(createMessageMemory(settings.memoryBytes))
     , m_hooks(std::move(hooks))
     , m_client(http_client::create(base, settings.backend, clientOptions(64)))
     , m_queue({})
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -77,7 +77,7 @@
     void onKeysChanged();
 
     gate_load load() const;
-    /// Bounds the answers that this node holds, as gate and as entry node.
+    /// Bounds the requests and answers that this node holds, as gate and as entry node.
     const std::shared_ptr<byte_budget>& memory() const { return m_memory; }
     const key_load& keyLoad() const { return m_keyLoad; }
     std::size_t inProgress() const { return m_requests.size(); }
@@ -115,7 +115,7 @@
 
     const mesh_settings& m_settings;
     const platform_port& m_port;
-    std::shared_ptr<byte_budget> m_memory; ///< For the answers that this node holds.
+    std::shared_ptr<byte_budget> m_memory; ///< For the bodies of all messages that this node holds.
     gate_hooks m_hooks;
     gate_backend m_backend;
     time_point m_closesAt = time_point::max();
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -43,6 +43,7 @@
     constexpr http_server_limits forwardLimits { 64 * 1024, 64u << 20, 120, 1 };
     /// What a forwarded request may have beyond the caller's: the headers between nodes.
     constexpr std::size_t forwardHeaderBytes = 16 * 1024;
+    constexpr auto retryAfterNoMemory = std::chrono::milliseconds(500); ///< Large bodies are held for about as long.
     constexpr int statusBadRequest = 400;
     constexpr int statusNotFound = 404;
     constexpr int statusUnavailable = 503;
@@ -188,9 +189,13 @@
                 m_settings.forward, forwardLimits,
                 [this](http_exchange_ptr exchange) { handleForward(std::move(exchange)); }, m_forwardServer));
             m_forwardServer->setRejectionHeaders(rejectionHeaders());
+            m_forwardServer->setMemory(m_gate.memory(), overloadHeaders(retryAfterNoMemory));
             BOOST_OUTCOME_TRY(bind(
                 m_settings.entry, entryLimits,
                 [this](http_exchange_ptr exchange) { m_entry.handle(std::move(exchange)); }, m_entryServer));
+            http_response_head overload;
+            m_port.addRetryAfter(overload, retryAfterNoMemory);
+            m_entryServer->setMemory(m_gate.memory(), std::move(overload.headers));
             BOOST_OUTCOME_TRY(bind(
                 m_settings.readiness, {}, [this](const http_exchange_ptr& exchange) { handleReadiness(exchange); },
                 m_readinessServer));
--- a/src/mesh/tests/mesh_node_test.cpp
+++ b/src/mesh/tests/mesh_node_test.cpp
@@ -60,7 +60,7 @@
 
         static std::string bodyFor(const http_request& request)
         {
-            return request.method + " " + request.target + " " + request.body;
+            return request.method + " " + request.target + " " + request.body.text();
         }
 
         /// Starts both nodes and waits until requests get from one to the other.
--- a/src/node/internal/admin_service.cpp
+++ b/src/node/internal/admin_service.cpp
@@ -48,7 +48,7 @@
     {
         auto checked = query_reader(exchange->request().target).finish();
         if (!checked.has_error())
-            checked = checkEmptyBody(exchange->request().body);
+            checked = checkEmptyBody(exchange->request().body.text());
         if (checked.has_error())
             answer(exchange, checked.error());
         return !checked.has_error();
@@ -274,7 +274,7 @@
     const auto query = query_reader(exchange->request().target).finish();
     if (query.has_error())
         return answer(exchange, query.error());
-    auto change = parseConfigurationChange(exchange->request().body);
+    auto change = parseConfigurationChange(exchange->request().body.text());
     if (change.has_error())
         return answer(exchange, change.error());
     const auto baseVersion = change.value().baseVersion;
@@ -303,7 +303,7 @@
 
 void admin_service::announce(const http_exchange_ptr& exchange)
 {
-    const auto backend = parseAnnouncement(exchange->request().body);
+    const auto backend = parseAnnouncement(exchange->request().body.text());
     if (backend.has_error())
         return answer(exchange, backend.error());
     m_node.onAnnouncement(backend.value());
--- a/src/routing/internal/forward_service.cpp
+++ b/src/routing/internal/forward_service.cpp
@@ -194,7 +194,7 @@
 {
     const auto& request = exchange->request();
     const auto requestId = request.target.substr(outcomePath.size());
-    const auto document = json::parse(request.body, nullptr, false);
+    const auto document = json::parse(request.body.text(), nullptr, false);
     if (requestId.empty() || !document.is_object() || !document.contains("sent_ago_us")
         || !document["sent_ago_us"].is_number_integer()) {
         exchange->respond(toFailureResponse(notRun(error_code::bad_request, "malformed outcome inquiry"), requestId));
@@ -210,7 +210,7 @@
 
 void forward_service::answerClaim(http_exchange_ptr exchange)
 {
-    const auto parsed = parseClaimRequest(exchange->request().body);
+    const auto parsed = parseClaimRequest(exchange->request().body.text());
     const auto token = parsed.has_value() ? parseToken(parsed.value().token) : result<once_token>(parsed.error());
     if (token.has_error()) {
         exchange->respond(toFailureResponse(token.error(), ""));
--- a/src/standin/internal/backend_server.cpp
+++ b/src/standin/internal/backend_server.cpp
@@ -68,7 +68,7 @@
         {
             const auto& request = exchange->request();
             if (request.method == "PUT" && request.target == "/faults")
-                return exchange->respond(takeFaults(request.body));
+                return exchange->respond(takeFaults(request.body.text()));
             const auto target = parseTarget(request.target);
             if (request.method == "GET" && target && target->path == std::vector<std::string> { "journal" })
                 return exchange->respond(listJournal(*target));
--- a/src/standin/internal/object_service.cpp
+++ b/src/standin/internal/object_service.cpp
@@ -27,7 +27,7 @@
             const auto name = target->path[2];
             store_operation operation { true, 1, { name }, {} };
             if (request.method == "PUT")
-                operation.run = [this, name, body = request.body] { return put(name, body); };
+                operation.run = [this, name, body = request.body.text()] { return put(name, body); };
             else if (request.method == "DELETE")
                 operation.run = [this, name] { return remove(name); };
             else if (request.method == "GET")
--- a/src/standin/internal/table_service.cpp
+++ b/src/standin/internal/table_service.cpp
@@ -79,7 +79,7 @@
 
     result<store_operation> parseCommit(stored_tables& tables, const http_request& request)
     {
-        BOOST_OUTCOME_TRY(transaction, parseTransaction(request.body));
+        BOOST_OUTCOME_TRY(transaction, parseTransaction(request.body.text()));
         store_operation operation { true, static_cast<double>(transaction.writes.size()), {}, {} };
         std::set<row_key> written;
         for (const auto& write : transaction.writes) {
--- a/src/standin/tests/backend_server_test.cpp
+++ b/src/standin/tests/backend_server_test.cpp
@@ -396,7 +396,7 @@
             EXPECT_EQ(request.target, "/v1/announcements");
             const json expected { { "address", toString(server->address()) }, { "labels", { { "pool", "lookup" } } },
                 { "slots", 3 }, { "checks_grants", true } };
-            EXPECT_EQ(json::parse(request.body), expected);
+            EXPECT_EQ(json::parse(request.body.text()), expected);
         }
     }
 
