--- a/src/ranges/tests/fragmentation_test.cpp
+++ b/src/ranges/tests/fragmentation_test.cpp
@@ -20,7 +20,11 @@
             map = assignUnowned(map, candidates, ++fence);
         }
 
-        void addOwner() { candidates.push_back({ makeLife("i-" + std::to_string(++lastId), lastId), 0 }); }
+        void addOwner()
+        {
+            ++lastId;
+            candidates.push_back({ makeLife("i-" + std::to_string(lastId), lastId), 0 });
+        }
 
         void updateLoads()
         {
