Give each trial of a refused request a name of its own

A trial is told to all nodes as a crash of the backend server's life, so that they do not try as well. A second trial on the same life, after a first one that ended with neither a crash nor an answer below 500, passed for a repeated report: the refusal did not begin anew, and from then on each request ran and was told to all nodes. Found by reading. CrashExchangeTest.EachTrialOnTheSameBackendServerDelaysTheNextOne fails without the change. The reference of a connection to a body is released if the output does not take it.

--- a/src/http/internal/stream.cpp
+++ b/src/http/internal/stream.cpp
@@ -86,10 +86,10 @@
             evbuffer_add(output, text.data(), text.size());
             return;
         }
-        auto* owner = new message_body(body);
-        evbuffer_add_reference(
-            output, text.data(), text.size(),
-            [](const void*, std::size_t, void* owned) { delete static_cast<message_body*>(owned); }, owner);
+        auto owner = std::make_unique<message_body>(body);
+        const auto release = [](const void*, std::size_t, void* owned) { delete static_cast<message_body*>(owned); };
+        if (evbuffer_add_reference(output, text.data(), text.size(), release, owner.get()) == 0)
+            static_cast<void>(owner.release()); // The buffer deletes it once the bytes are written.
     }
 
 } // namespace
--- a/src/mesh/internal/crash_exchange.cpp
+++ b/src/mesh/internal/crash_exchange.cpp
@@ -112,12 +112,15 @@
 
 void crash_exchange::onRun(request_fingerprint request, const std::string& life)
 {
-    if (!m_suspects.isTrial(request, boot_clock::now()))
+    const auto now = boot_clock::now();
+    if (!m_suspects.isTrial(request, now))
         return;
     logEvent(log_event::suspect_tried,
         { { "fingerprint", fingerprintText(request) }, { "backend_server", life },
             { "crashes", std::to_string(m_suspects.crashCount(request)) } });
-    recordAndTell({ life, { request } });
+    // Each trial has a name of its own. Under that of the life, a second trial on it would pass for a repeated report
+    // of the first one, and all later requests would run.
+    recordAndTell({ life + "/" + std::to_string(now.time_since_epoch().count()), { request } });
 }
 
 void crash_exchange::onAnswer(request_fingerprint request)
--- a/src/mesh/tests/crash_exchange_test.cpp
+++ b/src/mesh/tests/crash_exchange_test.cpp
@@ -163,6 +163,22 @@
         loop.runUntil([&] { return haveCount(0); });
     }
 
+    // Guards against a refused request that runs without end, and is told to all nodes each time, after a trial that
+    // ended neither with a crash nor with an answer.
+    TEST_F(CrashExchangeTest, EachTrialOnTheSameBackendServerDelaysTheNextOne)
+    {
+        constexpr auto delay = std::chrono::milliseconds(20);
+        auto& node = nodes[0];
+        node.suspects = crash_suspects({ .firstTrialDelay = delay });
+        for (int i = 0; i < 3; ++i)
+            node.exchange->onCrash({ "life-" + std::to_string(i), { lethal } });
+        for (int trial = 0; trial < 3; ++trial) {
+            loop.runUntil([&] { return !isRefused(node, lethal); });
+            node.exchange->onRun(lethal, "life-3");
+            EXPECT_TRUE(isRefused(node, lethal)) << trial;
+        }
+    }
+
     // Guards against a suspicion that stays at the other nodes after a backend server has answered the request.
     TEST_F(CrashExchangeTest, LaterAnswerClearsTheRequestEverywhere)
     {
