--- a/review/lib-2/mesh.py
+++ b/review/lib-2/mesh.py
@@ -559,7 +559,7 @@
         while len(ports) < len(names):
             port = random.randrange(11000, 32000)
             try:
-                with socket.create_server(("0.0.0.0", port)):
+                with socket.create_server((f"127.77.{self.number}.250", port)):
                     pass
             except OSError:
                 continue
