--- a/review/lib-2/mesh.py
+++ b/review/lib-2/mesh.py
@@ -310,10 +310,10 @@
 class Upstream(Server):
     """A sound upstream. `work(headers)` says how many seconds a request takes; runs are kept in `runs`."""
 
-    def __init__(self, machine, identity=None, work=0.05, sharded=False, slots=12):
+    def __init__(self, machine, identity=None, work=0.05, sharded=False, slots=12, born=None):
         self.machine, self.record = machine, machine.mesh.record
         self.identity = identity or f"i-{random.randrange(1 << 32):08x}"
-        self.born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000) if born is None else born
         self.work_s, self.sharded, self.slots = work, sharded, slots
         self.runs = []  # (seconds, request id, method, target, caller service, body size)
         self.holds, self.released, self.sequence, self.state = {}, [], 0, "ready"
