--- a/review/lib-2/mesh.py
+++ b/review/lib-2/mesh.py
@@ -484,9 +484,10 @@
         command = self.mesh.role["run"].split(" ")
         if not os.path.exists(os.path.join(ROOT, command[0])):
             raise CannotRun(f"{command[0]} is not built")
-        output = open(os.path.join(self.mesh.folder, f"{self.name}.log"), "ab")
-        self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=output, stderr=output)
-        output.close()
+        with self.mesh.starting, open(os.path.join(self.mesh.folder, f"{self.name}.log"), "ab") as output:
+            if self.mesh.is_closed:
+                return
+            self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=output, stderr=output)
         self.mesh.record.line(f"start of the node on {self.name}, process {self.process.pid}")
 
     def signal(self, number):
@@ -536,6 +537,7 @@
 
     def __init__(self, folder, services, store=Store):
         self.record = Record(folder)
+        self.starting, self.is_closed = threading.Lock(), False
         self.folder = tempfile.mkdtemp(prefix="review-2-")
         self.number = random.randrange(1, 250)
         self.ports = self._free_ports()
@@ -608,6 +610,8 @@
             return file.read()
 
     def close(self):
+        with self.starting:
+            self.is_closed = True
         for machine in self.machines:
             if machine.process and machine.process.poll() is None:
                 machine.process.send_signal(signal.SIGCONT)
@@ -623,20 +627,15 @@
 
 
 def play(folder, services, case, **options):
-    """Runs case(mesh) -> findings, and exits as the issue says."""
-    mesh = None
+    """Runs case(mesh) -> findings, and exits as the issue says. Ends all nodes that were started, also on SIGTERM."""
+    def give_up(*_):
+        raise CannotRun("ended by SIGTERM")
+
+    signal.signal(signal.SIGTERM, give_up)
+    mesh, status = None, NOT_RUN
     try:
         mesh = Mesh(folder, services, **options)
         findings = case(mesh)
-    except CannotRun as reason:
-        print(f"could not run: {reason}")
-        if mesh:
-            mesh.record.line(f"could not run: {reason}")
-        status = NOT_RUN
-    except OSError as reason:
-        print(f"could not run: {reason}")
-        status = NOT_RUN
-    else:
         for finding in findings:
             mesh.record.line(f"BROKEN: {finding}")
             print(f"broken: {finding}")
@@ -644,7 +643,13 @@
             mesh.record.line("the rule held")
             print("held")
         status = BROKEN if findings else HELD
-    if mesh:
-        mesh.close()
-    sys.stdout.flush()
-    os._exit(status)
+    except Exception as reason:  # pylint: disable=broad-except
+        print(f"could not run: {type(reason).__name__}: {reason}")
+        if mesh:
+            mesh.record.line(f"could not run: {type(reason).__name__}: {reason}")
+    finally:
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        if mesh:
+            mesh.close()
+        sys.stdout.flush()
+        os._exit(status)
