Decode the load and cold state of backend servers; state them between nodes

Backend servers of some deployments state their load and how much longer they are cold, and the configuration says how many requests a cold one tolerates. Nothing in the project read these fields. They are decoded at the platform's boundary into neutral types, and a gate states the expected waits, the service time and the slowdown of its backend server in each answer between nodes, if its deployment uses them. The settings get switches for the decisions that build on this; all are off by default. Odd figures are limited or rejected with a log line (E1808).

--- a/src/gate/internal/slot_queue.cpp
+++ b/src/gate/internal/slot_queue.cpp
@@ -60,6 +60,12 @@
 
 duration slot_queue::expectedWait() const { return expectedWaitBehind(m_waiting.size()); }
 
+duration slot_queue::expectedWait(int priority) const
+{
+    return expectedWaitBehind(static_cast<std::size_t>(std::ranges::count_if(
+        m_waiting, [&](const auto& request) { return request.isNested || request.priority <= priority; })));
+}
+
 double slot_queue::load() const { return static_cast<double>(m_running.size() + m_waiting.size()) / m_settings.slots; }
 
 bool slot_queue::isLate(const queued_request& request, time_point now) const
--- a/src/gate/slot_queue.h
+++ b/src/gate/slot_queue.h
@@ -62,6 +62,8 @@
     std::size_t waiting() const { return m_waiting.size(); }
     /// Expected waiting time for a slot of a request submitted now.
     duration expectedWait() const;
+    /// The same for a request of this priority, which other waiting requests of lower priority do not delay.
+    duration expectedWait(int priority) const;
     duration serviceTime(const std::string& kind) const;
     /// Running and waiting requests relative to the number of slots; above 1 if requests wait.
     double load() const;
--- a/src/mesh/forward_protocol.h
+++ b/src/mesh/forward_protocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/server_status.h"
 #include "base/clock.h"
 #include "base/failure.h"
 #include "base/store_types.h"
@@ -24,6 +25,7 @@
     bool isFromOwnHost = false; ///< Sent from the entry node's instance, as nested requests of its backend server are.
     bool isIdempotent = false;
     std::optional<key_number> key;
+    std::string callerZone {}; ///< Availability zone of the entry node.
 };
 
 /// Version and freshness of a node's copy of a store table.
@@ -50,6 +52,7 @@
     std::int64_t mapVersion = 0; ///< Version of the gate's range map; 0 if it has none.
     bool isDraining = false;
     std::optional<table_statements> tables; ///< Empty until the node has read the tables.
+    std::optional<server_status> status {}; ///< Of the backend server, if the deployment uses it.
 
     bool operator==(const gate_load&) const = default;
 };
--- a/src/mesh/internal/entry_service.cpp
+++ b/src/mesh/internal/entry_service.cpp
@@ -95,6 +95,7 @@
     request.route = route->name;
     request.service = m_context.routes.pickService(*route);
     request.callerService = m_context.settings.service;
+    request.callerZone = m_context.settings.zone;
     const duration callerTimeout = caller.timeout.value_or(defaultTimeout);
     request.deadline = now + callerTimeout - answerMargin;
     if (route->timeout > duration::zero())
--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <climits>
 #include <utility>
+#include <vector>
 
 namespace heatherdrift {
 
@@ -30,6 +31,9 @@
     constexpr const char* demandHeader = "heatherdrift-demand-permille";
     constexpr const char* mapHeader = "heatherdrift-range-map";
     constexpr const char* drainingHeader = "heatherdrift-draining";
+    constexpr const char* zoneHeader = "heatherdrift-zone";
+    /// Waits by urgency, service time, slowdown, and of a cold backend server its three figures; separated by commas.
+    constexpr const char* statusHeader = "heatherdrift-status";
     constexpr const char* tablesHeader = "heatherdrift-tables"; ///< Four numbers, separated by commas.
     constexpr double permille = 1000;
     constexpr int statusRefused = 503;
@@ -105,18 +109,65 @@
         return encode(tables.configuration) + "," + encode(tables.members);
     }
 
-    std::optional<table_statements> decodeTables(std::string_view text)
+    /// Numbers that are separated by commas; empty if one is negative or malformed, or there are more than 16.
+    std::vector<std::int64_t> parseNumbers(std::string_view text)
     {
-        std::int64_t numbers[4] {};
-        for (auto& number : numbers) {
+        constexpr std::size_t maxNumbers = 16;
+        std::vector<std::int64_t> numbers;
+        while (numbers.size() < maxNumbers) {
+            std::int64_t number = 0;
             const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-            const bool isLast = &number == std::end(numbers) - 1;
+            if (error != std::errc() || number < 0)
+                return {};
+            numbers.push_back(number);
             text.remove_prefix(static_cast<std::size_t>(end - text.data()));
-            if (error != std::errc() || number < 0 || (isLast ? !text.empty() : !text.starts_with(',')))
-                return std::nullopt;
-            if (!isLast)
-                text.remove_prefix(1);
+            if (text.empty())
+                return numbers;
+            if (!text.starts_with(','))
+                return {};
+            text.remove_prefix(1);
         }
+        return {};
+    }
+
+    constexpr std::size_t statusFigures = urgencyLevels + 2;
+    constexpr std::size_t coldFigures = 3;
+
+    std::string encodeStatus(const server_status& status)
+    {
+        std::string out;
+        for (const auto wait : status.expectedWaits)
+            out += microseconds(wait) + ",";
+        out += microseconds(status.serviceTime) + "," + std::to_string(static_cast<int>(status.slowdown * permille));
+        if (const auto& cold = status.cold)
+            out += "," + microseconds(cold->remaining) + "," + microseconds(cold->nextStartIn) + ","
+                + std::to_string(static_cast<std::int64_t>(cold->requestsPerSecond * permille));
+        return out;
+    }
+
+    std::optional<server_status> decodeStatus(std::string_view text)
+    {
+        const auto numbers = parseNumbers(text);
+        if (numbers.size() != statusFigures && numbers.size() != statusFigures + coldFigures)
+            return std::nullopt;
+        const auto time = [&](std::size_t index) { return duration(std::min(numbers[index], maxRetryAfter)); };
+        const auto ratio
+            = [&](std::size_t index) { return static_cast<double>(std::min(numbers[index], maxPermille)) / permille; };
+        server_status status;
+        for (std::size_t level = 0; level < urgencyLevels; ++level)
+            status.expectedWaits[level] = time(level);
+        status.serviceTime = time(urgencyLevels);
+        status.slowdown = ratio(urgencyLevels + 1);
+        if (numbers.size() > statusFigures)
+            status.cold = { time(statusFigures), time(statusFigures + 1), ratio(statusFigures + 2) };
+        return status;
+    }
+
+    std::optional<table_statements> decodeTables(std::string_view text)
+    {
+        const auto numbers = parseNumbers(text);
+        if (numbers.size() != 4)
+            return std::nullopt;
         return table_statements { { numbers[0], duration(numbers[1]) }, { numbers[2], duration(numbers[3]) } };
     }
 
@@ -140,6 +191,8 @@
         headers.add(idempotentHeader, "1");
     if (request.key)
         headers.add(keyHeader, std::to_string(*request.key));
+    if (!request.callerZone.empty())
+        headers.add(zoneHeader, request.callerZone);
     return out;
 }
 
@@ -165,6 +218,7 @@
     request.priority = static_cast<int>(*priority);
     request.isFromOwnHost = !reader.text(ownHostHeader).empty();
     request.isIdempotent = !reader.text(idempotentHeader).empty();
+    request.callerZone = reader.text(zoneHeader);
     if (const auto text = reader.text(keyHeader); !text.empty()) {
         // Without its key, the request would run on a backend server that may not hold it.
         const auto key = parseNumber(text);
@@ -200,6 +254,8 @@
         headers.add(drainingHeader, "1");
     if (answer.load.tables)
         headers.add(tablesHeader, encodeTables(*answer.load.tables));
+    if (answer.load.status)
+        headers.add(statusHeader, encodeStatus(*answer.load.status));
     return out;
 }
 
@@ -236,6 +292,7 @@
     answer.load.mapVersion = reader.numberIn(mapHeader, 0, INT64_MAX);
     answer.load.isDraining = !reader.text(drainingHeader).empty();
     answer.load.tables = decodeTables(reader.text(tablesHeader));
+    answer.load.status = decodeStatus(reader.text(statusHeader));
     return answer;
 }
 
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -60,6 +60,7 @@
         recordEndOfLife();
         m_closesAt = time_point::max();
         m_queue.setSlots(backend.slots);
+        m_statedLoad.clear();
     }
     m_backend = backend;
     m_queue.setSlots(backend.slots);
@@ -110,7 +111,8 @@
 
 gate_load gate_service::load() const
 {
-    gate_load load { m_backend.life, m_queue.load(), 0, m_hooks.mapVersion(), isDraining(), m_hooks.tableStatements() };
+    gate_load load { m_backend.life, m_queue.load(), 0, m_hooks.mapVersion(), isDraining(), m_hooks.tableStatements(),
+        status(boot_clock::now()) };
     if (load.mapVersion == 0)
         return load;
     const double perSecond
@@ -119,6 +121,28 @@
     return load;
 }
 
+/// Other nodes need it only if their deployment uses it to pick backend servers or to admit requests.
+std::optional<server_status> gate_service::status(time_point now) const
+{
+    const auto& scheduling = m_settings.scheduling;
+    if (!m_statedLoad.last() && !scheduling.ranksByCaller && !scheduling.usesCompletionTime)
+        return std::nullopt;
+    server_status status;
+    for (std::size_t level = 0; level < urgencyLevels; ++level)
+        status.expectedWaits[level] = m_queue.expectedWait(static_cast<int>(level));
+    status.serviceTime = m_queue.meanServiceTime();
+    status.slowdown = m_statedLoad.slowdown(now);
+    return status;
+}
+
+void gate_service::recordLoad(const backend_answer& info, time_point now)
+{
+    if (info.load)
+        return m_statedLoad.record(*info.load, now);
+    if (info.hasMalformedLoad)
+        logEvent(log_event::server_load_rejected, { { "backend_server", m_backend.id } });
+}
+
 gate_answer gate_service::refusal(error_code reason) const
 {
     gate_answer answer;
@@ -276,6 +300,7 @@
     }
     const auto& head = response.value().head;
     const auto info = m_port.decodeAnswer(head);
+    recordLoad(info, boot_clock::now());
     gate_answer answer;
     answer.reachedBackend = true;
     if (info.isNotExecuted || head.status == statusMisdirected) {
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -5,6 +5,7 @@
 #include "gate/crash_detector.h"
 #include "gate/request_origins.h"
 #include "gate/slot_queue.h"
+#include "gate/stated_load.h"
 #include "http/http_client.h"
 #include "mesh/forward_protocol.h"
 #include "mesh/platform_port.h"
@@ -100,6 +101,8 @@
     gate_answer crashRefusal(time_point until, time_point now) const;
     void recordOutcome(request_fingerprint, const gate_answer&, time_point now);
     void recordEndOfLife();
+    void recordLoad(const backend_answer&, time_point now);
+    std::optional<server_status> status(time_point now) const;
     /// Time by which the response would miss its latency objective because of the instance's link; zero if it would
     /// not.
     duration deliveryLateness(const gate_request&, time_point now) const;
@@ -126,6 +129,7 @@
     request_origins m_origins;
     crash_detector m_crashes;
     key_load m_keyLoad;
+    stated_load m_statedLoad;
     std::map<request_number, gate_request> m_requests;
     request_number m_lastNumber = 0;
     timer m_sweep;
--- a/src/mesh/platform_port.h
+++ b/src/mesh/platform_port.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/server_load.h"
 #include "base/failure.h"
 #include "base/identifiers.h"
 #include "base/store_types.h"
@@ -37,6 +38,9 @@
     std::string requestId; ///< Request that the response belongs to; empty if not stated.
     bool isNotExecuted = false; ///< The backend server states that it did not run the request.
     bool isFromBackend = false; ///< Carries the header that only the backend server itself adds to its responses.
+    std::optional<server_load> load {}; ///< Empty if it states none, or not in a form that can be read.
+    bool hasMalformedLoad = false;
+    std::optional<duration> coldFor {}; ///< In health responses: how much longer the backend server is cold.
 
     bool operator==(const backend_answer&) const = default;
 };
@@ -53,6 +57,7 @@
     bool isDraining = false;
     std::vector<held_range> holds;
     std::vector<released_range> released;
+    duration coldFor {}; ///< How much longer the backend server tolerates only few requests.
 
     life_name life() const { return makeLife(id, startedAt); }
     bool operator==(const backend_announcement&) const = default;
@@ -70,6 +75,8 @@
     std::function<void(http_response_head&, duration)> addRetryAfter;
     std::function<result<route_configuration>(std::string_view)> decodeConfiguration;
     row_key configurationRow;
+    /// Availability zone that the operator has evacuated by this row; empty for any other row.
+    std::function<std::optional<std::string>(const row_key&)> decodeEvacuation;
     std::string readinessPath;
 };
 
--- a/src/mesh/tests/forward_protocol_test.cpp
+++ b/src/mesh/tests/forward_protocol_test.cpp
@@ -26,6 +26,7 @@
         out.priority = 2;
         out.isFromOwnHost = true;
         out.key = 77;
+        out.callerZone = "z1";
         return out;
     }
 
@@ -46,6 +47,7 @@
         EXPECT_TRUE(got.isFromOwnHost);
         EXPECT_FALSE(got.isIdempotent);
         EXPECT_EQ(got.key, 77u);
+        EXPECT_EQ(got.callerZone, "z1");
     }
 
     // Guards against callers that set headers between nodes: they chose the service that their request named as its
@@ -138,6 +140,33 @@
         }
     }
 
+    // Guards against choosing backend servers by a damaged report, whose figures may be of other fields.
+    TEST(ForwardProtocol, DamagedServerStatusIsIgnored)
+    {
+        for (const char* text : { "1,2,3,4,5", "1,2,3,4,5,6,7", "1,2,3,4,5,-6", "1,2,3,4,5,6,7,8,9,10", "1,2,3,4,5,x",
+                 "1,2,3,4,5,6,", "99999999999999999999,2,3,4,5,6", "" }) {
+            auto message = encodeAnswer({});
+            message.head.headers.set("heatherdrift-status", text);
+            const auto got = decodeAnswer(message);
+            ASSERT_TRUE(got.has_value());
+            EXPECT_FALSE(got.value().load.status) << text;
+            EXPECT_FALSE(got.value().response.head.headers.find("heatherdrift-status"));
+        }
+    }
+
+    // Guards against another order of the fields of a report on both sides.
+    TEST(ForwardProtocol, ServerStatusIsDecodedAsItWasEncoded)
+    {
+        using std::chrono::milliseconds;
+        gate_answer answer;
+        answer.load.status
+            = server_status { { milliseconds(1), milliseconds(20), milliseconds(300), milliseconds(4000) },
+                  milliseconds(60), 2.5, std::nullopt };
+        EXPECT_EQ(decodeAnswer(encodeAnswer(answer)).value().load.status, answer.load.status);
+        answer.load.status->cold = cold_status { milliseconds(2500), milliseconds(40), 16 };
+        EXPECT_EQ(decodeAnswer(encodeAnswer(answer)).value().load.status, answer.load.status);
+    }
+
     // Guards against losing the verdict of a refusal, which would turn "not run" into "may have run".
     TEST(ForwardProtocol, AnswersKeepTheirVerdict)
     {
--- a/src/routes/route_configuration.h
+++ b/src/routes/route_configuration.h
@@ -37,6 +37,9 @@
     std::string name;
     int maximumConnections = 0; ///< Per backend server, from all callers together; 0: unknown.
     bool isPartitioned = false; ///< Each key has one owner among the backend servers.
+    duration coldStart {}; ///< Time for which a backend server is cold after its start; zero: not known.
+    double coldRequestsPerSecond = 0; ///< What a cold backend server tolerates; more crash it. 0: no limit.
+    std::string healthPath {}; ///< Target of health checks; empty: not known.
 
     bool operator==(const service_definition&) const = default;
 };
--- a/src/settings/internal/mesh_settings.cpp
+++ b/src/settings/internal/mesh_settings.cpp
@@ -22,6 +22,19 @@
         return reader.finish();
     }
 
+    result<void> readScheduling(const json& value, const std::string& path, scheduling_settings& settings)
+    {
+        constexpr double maxHedgeShare = 0.2;
+        constexpr auto optional = json_reader::presence::optional;
+        json_reader reader(value, path, error_code::invalid_settings);
+        reader.readBool("rank_by_caller", settings.ranksByCaller, optional);
+        reader.readBool("completion_time", settings.usesCompletionTime, optional);
+        reader.readBool("return_times", settings.plansReturns, optional);
+        reader.readNumber("hedge_share", settings.hedgeShare, 0, maxHedgeShare, optional);
+        reader.readMilliseconds("evacuation_ms", settings.evacuationTime, { 0, milliseconds.most }, optional);
+        return reader.finish();
+    }
+
 } // namespace
 
 result<mesh_settings> parseMeshSettings(std::string_view text)
@@ -51,6 +64,10 @@
     reader.readInteger("memory_mb", memoryMegabytes, memoryLimits, json_reader::presence::optional);
     settings.memoryBytes = static_cast<std::size_t>(memoryMegabytes) * bytesPerMegabyte;
     reader.readInteger("log_lines", settings.logLines, { 1, 1000000 }, json_reader::presence::optional);
+    reader.readValue(
+        "scheduling",
+        [&](const json& value, const std::string& path) { return readScheduling(value, path, settings.scheduling); },
+        json_reader::presence::optional);
     BOOST_OUTCOME_TRY(reader.finish());
     return settings;
 }
--- a/src/settings/mesh_settings.h
+++ b/src/settings/mesh_settings.h
@@ -6,6 +6,19 @@
 
 namespace heatherdrift {
 
+/// Decisions that a node makes only where its deployment asks for them.
+struct scheduling_settings {
+    bool ranksByCaller = false; ///< Nested requests rank as the requests that they are made for.
+    bool usesCompletionTime = false; ///< Picks the backend server that is expected to answer first.
+    bool plansReturns = false; ///< Refused callers are told times at which there is room for them.
+    double hedgeShare = 0; ///< Most repeated requests against slow answers, as a share of the requests; 0: none.
+    /// A backend server in an evacuated availability zone gets no request later than this after the operator's change;
+    /// zero: evacuations are not followed.
+    duration evacuationTime {};
+
+    bool operator==(const scheduling_settings&) const = default;
+};
+
 /// Settings of one node beside a backend server; see docs/settings.md.
 struct mesh_settings {
     instance_id node;
@@ -29,6 +42,8 @@
     int logLines = 200; ///< Lines of one event that are written in 10 s.
     double retryShare = 0.2; ///< Retries per request that all nodes together may send to a service.
 
+    scheduling_settings scheduling {};
+
     bool operator==(const mesh_settings&) const = default;
 };
 
--- a/src/settings/tests/mesh_settings_test.cpp
+++ b/src/settings/tests/mesh_settings_test.cpp
@@ -41,6 +41,32 @@
         EXPECT_TRUE(parseMeshSettings(document.dump()).has_error());
     }
 
+    // Guards against a decision that a deployment has not asked for.
+    TEST(MeshSettings, SchedulingIsOffUnlessAskedFor)
+    {
+        auto document = nlohmann::json::parse(valid);
+        EXPECT_EQ(parseMeshSettings(document.dump()).value().scheduling, scheduling_settings());
+        document["scheduling"] = { { "rank_by_caller", true }, { "completion_time", true }, { "return_times", true },
+            { "hedge_share", 0.05 }, { "evacuation_ms", 5000 } };
+        const scheduling_settings all { true, true, true, 0.05, std::chrono::seconds(5) };
+        EXPECT_EQ(parseMeshSettings(document.dump()).value().scheduling, all);
+    }
+
+    // Guards against limits out of range that are cut to others, and misspelt ones that are ignored.
+    TEST(MeshSettings, SchedulingIsChecked)
+    {
+        const std::pair<const char*, nlohmann::json> changes[]
+            = { { "hedge_share", 0.21 }, { "hedge_share", -0.01 }, { "hedge_share", "0.02" }, { "evacuation_ms", -1 },
+                  { "evacuation_ms", 1e18 }, { "rank_by_caller", 1 }, { "return_time", true } };
+        for (const auto& [name, value] : changes) {
+            auto document = nlohmann::json::parse(valid);
+            document["scheduling"][name] = value;
+            const auto got = parseMeshSettings(document.dump());
+            ASSERT_TRUE(got.has_error()) << name;
+            EXPECT_NE(got.error().message.find(name), std::string::npos) << got.error().message;
+        }
+    }
+
     // Guards against a node that starts with a default in place of a field that was left out or misspelt.
     TEST(MeshSettings, EveryFieldIsCheckedByName)
     {
@@ -67,9 +93,17 @@
         std::stringstream text;
         text << file.rdbuf();
         ASSERT_FALSE(text.str().empty());
-        const std::string plain = std::regex_replace(text.str(), std::regex(R"(\{\{[^}]*\}\})"), "0");
-        const auto rendered = nlohmann::json::parse(plain);
+        // A section for an absent value is left out here; the value itself is rendered.
+        const std::string present
+            = std::regex_replace(text.str(), std::regex(R"(\{\{\^[^}]*\}\}[^{]*\{\{/[^}]*\}\})"), "");
+        const std::string plain = std::regex_replace(present, std::regex(R"(\{\{[^}]*\}\})"), "0");
+        auto rendered = nlohmann::json::parse(plain);
         const auto document = nlohmann::json::parse(valid);
+        auto withScheduling = document;
+        withScheduling["scheduling"] = rendered["scheduling"];
+        const auto accepted = parseMeshSettings(withScheduling.dump());
+        EXPECT_TRUE(accepted.has_value()) << accepted.error().message;
+        rendered.erase("scheduling");
         for (const auto& [name, value] : document.items())
             EXPECT_TRUE(rendered.contains(name)) << name;
         EXPECT_EQ(rendered.size(), document.size());
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -107,6 +107,8 @@
             "The store did not take a departure in time; the shutdown notice is not acknowledged." },
         { log_event::backend_crashed, "backend_crashed", log_level::warning,
             "The backend server ended while requests were at work; the line names them by their fingerprints." },
+        { log_event::server_load_rejected, "server_load_rejected", log_level::warning,
+            "The backend server stated its load in a form that cannot be read; the statement is ignored." },
         { log_event::request_quarantined, "request_quarantined", log_level::warning,
             "A request was refused because requests with its content crashed backend servers." },
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", log_level::warning,
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -47,6 +47,7 @@
     backend_lost = 1802,
     backend_recovered = 1803,
     backend_crashed = 1807,
+    server_load_rejected = 1808,
     request_quarantined = 1901,
     foreign_answer_dropped = 1902,
     suspect_refused = 1903,
