Follow evacuations of zones

Cause: an operator's evacuation of a zone was ignored; its backend servers got requests and keys as before.

Change: the rows of the operator's table are handled in a file of their own (operator_rows), with the evacuations beside the configuration. The gate of an evacuated zone refuses requests without a key at once and keyed ones at the latest before the limit, entry nodes do not pick its servers, and keys move out as in a drain.

--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -20,6 +20,8 @@
     constexpr auto mapPollInterval = std::chrono::milliseconds(5);
     constexpr auto minRetryAfter = std::chrono::milliseconds(20);
     constexpr auto retryAfterNoServer = std::chrono::milliseconds(300);
+    /// All zones of a service are evacuated. Their return is known to all nodes within this time.
+    constexpr auto retryAfterEvacuation = std::chrono::milliseconds(2500);
     constexpr int statusBadGateway = 502;
     constexpr int statusUnavailable = 503;
     constexpr int statusTimeout = 504;
@@ -71,6 +73,8 @@
         const bool wasTried = peer && std::ranges::find(m_tried, peer->member.node) != m_tried.end();
         if (!peer || (wasTried && life != range.owner))
             continue;
+        if (!m_context.directory.mayServeKeys(peer->member, now))
+            continue;
         if (!m_context.directory.isUnreachable(*peer, now))
             return peer->member.node;
         m_context.probe(peer->member.node);
@@ -79,6 +83,14 @@
     return std::nullopt;
 }
 
+/// The keys may have moved, so that a newer map names an owner that can serve them.
+bool entry_call::isOwnerEvacuated(time_point now)
+{
+    const auto* map = m_context.map(m_request.service);
+    const auto* peer = map ? m_context.directory.findLife(map->find(*m_request.key).owner) : nullptr;
+    return peer && !m_context.directory.mayServeKeys(peer->member, now);
+}
+
 std::optional<instance_id> entry_call::pickAny(time_point now)
 {
     return m_context.directory.view(m_request.service).pick({ m_tried, m_request.isIdempotent }, now);
@@ -97,12 +109,16 @@
             return fail(*m_lastAnswer);
         return refuse(retryAfterNoServer);
     }
+    if (m_context.directory.isWhollyEvacuated(m_request.service))
+        return m_lastAnswer ? fail(*m_lastAnswer) : refuse(retryAfterEvacuation);
     // After a start, the first request for a key triggers the fetch of the range map from another node.
     if (m_request.key && !m_context.map(m_request.service) && now < m_receivedAt + mapWaitTimeout)
         return scheduleRetry(mapPollInterval);
     const auto target = m_request.key ? pickOwner(now) : pickAny(now);
     if (target)
         return sendTo(*target);
+    if (m_request.key && isOwnerEvacuated(now) && now < m_receivedAt + mapWaitTimeout)
+        return scheduleRetry(retry_time::interval);
     if (m_lastAnswer)
         return fail(*m_lastAnswer);
     refuse(retryAfterNoServer);
--- a/src/mesh/internal/entry_call.h
+++ b/src/mesh/internal/entry_call.h
@@ -22,6 +22,7 @@
     };
 
     std::optional<instance_id> pickOwner(time_point now);
+    bool isOwnerEvacuated(time_point now);
     std::optional<instance_id> pickAny(time_point now);
     void sendNext();
     void sendTo(const instance_id&);
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -43,6 +43,7 @@
     , m_port(port)
     , m_memory(createMessageMemory(settings.memoryBytes))
     , m_hooks(std::move(hooks))
+    , m_evacuationTimer(base, [this] { refuseEvacuated(); })
     , m_client(http_client::create(base, settings.backend, clientOptions(64)))
     , m_queue({})
     , m_keyLoad(keyLoadTimeConstant)
@@ -194,7 +195,7 @@
         return answer(id, refusal(error_code::connection_failed));
     if (entry.request.service != m_settings.service)
         return answer(id, refusal(error_code::not_owner));
-    if (now >= m_closesAt)
+    if (now >= m_closesAt || isEvacuated(entry, now))
         return answer(id, refusal(error_code::draining));
     if (const auto late = deliveryLateness(entry, now); late > duration()) {
         auto refused = refusal(error_code::overloaded);
@@ -227,9 +228,10 @@
 {
     auto& entry = m_requests.at(id);
     const auto now = boot_clock::now();
-    if (now >= m_closesAt || now >= entry.request.deadline) {
+    const bool isClosed = now >= m_closesAt || isEvacuated(entry, now);
+    if (isClosed || now >= entry.request.deadline) {
         m_queue.finish(id, std::nullopt);
-        return answer(id, refusal(now >= m_closesAt ? error_code::draining : error_code::deadline_exceeded));
+        return answer(id, refusal(isClosed ? error_code::draining : error_code::deadline_exceeded));
     }
     if (entry.request.key && m_hooks.keyAccess(*entry.request.key) != key_access::serve) {
         m_queue.finish(id, std::nullopt);
@@ -382,6 +384,41 @@
     }
 }
 
+void gate_service::startEvacuation(time_point keysUntil)
+{
+    m_evacuation.begin(keysUntil);
+    m_evacuationTimer.startAt(keysUntil);
+    refuseEvacuated();
+}
+
+void gate_service::endEvacuation()
+{
+    const bool isReopened = m_evacuation.hasBegun();
+    m_evacuation.end();
+    m_evacuationTimer.stop();
+    if (isReopened && m_hooks.onEvacuationEnded)
+        m_hooks.onEvacuationEnded();
+}
+
+bool gate_service::isEvacuated(const gate_request& entry, time_point now) const
+{
+    return m_evacuation.refuses(entry.request.key.has_value(), now);
+}
+
+void gate_service::refuseEvacuated()
+{
+    const auto now = boot_clock::now();
+    std::vector<request_number> refused;
+    for (const auto& [id, entry] : m_requests) {
+        if (entry.startedAt == time_point() && isEvacuated(entry, now))
+            refused.push_back(id);
+    }
+    for (const auto id : refused) {
+        m_queue.cancel(id);
+        answer(id, refusal(error_code::draining));
+    }
+}
+
 void gate_service::scheduleSweep()
 {
     if (!m_sweep.isPending())
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -3,6 +3,7 @@
 #include "admission/crash_suspects.h"
 #include "base/event_handle.h"
 #include "gate/crash_detector.h"
+#include "gate/evacuation_gate.h"
 #include "gate/request_origins.h"
 #include "gate/slot_queue.h"
 #include "gate/stated_load.h"
@@ -35,6 +36,8 @@
     std::function<void(request_fingerprint, const life_name&)> onRun {};
     std::function<void(request_fingerprint)> onAnswered {}; ///< The backend server has run a request to its answer.
     std::function<void(backend_crash)> onCrashed {}; ///< The backend server ended without a drain, at work on requests.
+    /// The zone is about to get requests again; what was known of the backend server's warmth may be outdated.
+    std::function<void()> onEvacuationEnded {};
 };
 
 /// The backend server beside this node, from its announcements.
@@ -69,6 +72,12 @@
     void setMaximumConnections(int);
     /// Sends no request to the draining backend server after this time.
     void closeAt(time_point);
+    /// Refuses requests until then unless the state of the evacuation becomes known before.
+    void awaitEvacuations(time_point until) { m_evacuation.awaitTable(until); }
+    /// Sends no request to the backend server while its zone is evacuated, but keyed ones until the given time. Running
+    /// requests continue.
+    void startEvacuation(time_point keysUntil);
+    void endEvacuation();
     /// Refuses new requests as not run from now on; queued and running ones continue.
     void stopAccepting() { m_isStopping = true; }
     /// The process ends at this time: requests that may last longer are refused, since they would be cut.
@@ -113,6 +122,9 @@
     gate_answer classify(result<http_response>);
     gate_answer refusal(error_code) const;
     void answer(request_number, gate_answer);
+    bool isEvacuated(const gate_request&, time_point now) const;
+    /// Refuses the requests that wait for a slot or a key and may no longer be sent.
+    void refuseEvacuated();
     void sweep();
     void scheduleSweep();
 
@@ -124,6 +136,8 @@
     time_point m_closesAt = time_point::max();
     time_point m_endsAt = time_point::max();
     bool m_isStopping = false;
+    evacuation_gate m_evacuation;
+    timer m_evacuationTimer; ///< Runs until keyed requests are refused, too.
     std::unique_ptr<http_client> m_client;
     slot_queue m_queue;
     request_origins m_origins;
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -70,9 +70,10 @@
     std::erase_if(m_retired, [](const auto& client) { return client->idleCount() == client->connectionCount(); });
     auto& peer = m_peers[member.node];
     const bool isOther = peer.member.life != member.life || peer.member.service != member.service;
-    if (acceptsWork(peer.member) && (!acceptsWork(member) || isOther))
+    m_whollyEvacuated.reset();
+    if (isPickable(peer.member) && (!isPickable(member) || isOther))
         view(peer.member.service).remove(member.node);
-    if (acceptsWork(member) && (!acceptsWork(peer.member) || isOther))
+    if (isPickable(member) && (!isPickable(peer.member) || isOther))
         view(member.service).add(member.node, member.zone, !peer.member.life.empty(), now);
     if (peer.member.address != member.address) {
         if (auto& client = m_clients[member.node])
@@ -89,7 +90,8 @@
     const auto found = m_peers.find(node);
     if (found == m_peers.end())
         return;
-    if (acceptsWork(found->second.member))
+    m_whollyEvacuated.reset();
+    if (isPickable(found->second.member))
         view(found->second.member.service).remove(node);
     if (const auto client = m_clients.find(node); client != m_clients.end()) {
         m_retired.push_back(std::move(client->second));
@@ -98,6 +100,53 @@
     m_peers.erase(found);
 }
 
+void mesh_directory::setEvacuated(const std::map<std::string, zone_evacuation>& zones, time_point now)
+{
+    const auto before = std::exchange(m_evacuated, zones);
+    m_whollyEvacuated.reset();
+    for (const auto& [node, peer] : m_peers) {
+        const auto& member = peer.member;
+        const bool wasEvacuated = before.contains(member.zone);
+        if (!acceptsWork(member) || wasEvacuated == isEvacuated(member))
+            continue;
+        if (wasEvacuated)
+            view(member.service).add(node, member.zone, true, now);
+        else
+            view(member.service).remove(node);
+    }
+}
+
+bool mesh_directory::mayServeKeys(const mesh_member& member, time_point now) const
+{
+    const auto found = m_evacuated.find(member.zone);
+    return found == m_evacuated.end() || now < found->second.closesAt;
+}
+
+bool mesh_directory::isWhollyEvacuated(const std::string& service) const
+{
+    if (m_evacuated.empty())
+        return false;
+    // Called for each request. Servers that drain or do not respond count, so that a cut from all other zones does not
+    // look like their evacuation.
+    if (!m_whollyEvacuated) {
+        std::set<std::string> served;
+        m_whollyEvacuated.emplace();
+        for (const auto& [node, peer] : m_peers) {
+            if (!peer.member.life.empty())
+                (isEvacuated(peer.member) ? *m_whollyEvacuated : served).insert(peer.member.service);
+        }
+        for (const auto& name : served)
+            m_whollyEvacuated->erase(name);
+    }
+    return m_whollyEvacuated->contains(service);
+}
+
+bool mesh_directory::hasInstanceIn(const std::string& zone) const
+{
+    return zone == m_settings.zone
+        || std::ranges::any_of(m_peers, [&](const auto& entry) { return entry.second.member.zone == zone; });
+}
+
 const mesh_peer* mesh_directory::find(const instance_id& node) const
 {
     const auto found = m_peers.find(node);
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -5,10 +5,12 @@
 #include "http/http_client.h"
 #include "mesh/forward_protocol.h"
 #include "mesh/member.h"
+#include "routes/evacuation_list.h"
 #include "settings/mesh_settings.h"
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace heatherdrift {
 
@@ -33,6 +35,15 @@
 
     void update(const mesh_member&, time_point now);
     void remove(const instance_id&);
+    /// Sets the evacuated zones. Their backend servers are not picked; those of a zone that returns count as cold.
+    void setEvacuated(const std::map<std::string, zone_evacuation>&, time_point now);
+    bool isEvacuated(const mesh_member& member) const { return m_evacuated.contains(member.zone); }
+    /// Whether keyed requests may be sent to the backend server, if it has the keys.
+    bool mayServeKeys(const mesh_member&, time_point now) const;
+    /// Whether all backend servers of the service are in evacuated zones.
+    bool isWhollyEvacuated(const std::string& service) const;
+    /// Whether an instance is known in the zone, this node's or another one.
+    bool hasInstanceIn(const std::string& zone) const;
 
     const std::map<instance_id, mesh_peer>& peers() const { return m_peers; }
     const mesh_peer* find(const instance_id&) const;
@@ -59,6 +70,8 @@
 
 private:
     bool acceptsWork(const mesh_member&) const;
+    /// Whether the backend server is in the view of its service.
+    bool isPickable(const mesh_member& member) const { return acceptsWork(member) && !isEvacuated(member); }
 
     event_base* m_base;
     const mesh_settings& m_settings;
@@ -67,6 +80,9 @@
     /// Clients of removed nodes and former addresses, until their calls end.
     std::vector<std::unique_ptr<http_client>> m_retired;
     std::map<std::string, std::unique_ptr<load_view>> m_views;
+    std::map<std::string, zone_evacuation> m_evacuated; ///< By zone.
+    /// Services whose backend servers are all in evacuated zones; empty until it is needed after a change.
+    mutable std::optional<std::set<std::string>> m_whollyEvacuated;
 };
 
 } // namespace heatherdrift
--- a/src/mesh/internal/mesh_metrics.cpp
+++ b/src/mesh/internal/mesh_metrics.cpp
@@ -15,6 +15,8 @@
     , m_mapChanges(m_registry.counter("heatherdrift_range_map_changes_total", "Range maps that became known."))
     , m_configurationVersion(
           m_registry.gauge("heatherdrift_configuration_version", "Version of the configuration in force."))
+    , m_evacuatedZones(m_registry.gauge("heatherdrift_evacuated_zones", "Zones that the operator has evacuated."))
+    , m_isEvacuated(m_registry.gauge("heatherdrift_evacuated", "1 while the zone of this node is evacuated."))
     , m_load(m_registry.gauge("heatherdrift_gate_load", "Share of the slots in use or waited for."))
     , m_demand(m_registry.gauge("heatherdrift_gate_demand", "Slots that the keys need, per slot."))
     , m_waiting(m_registry.gauge("heatherdrift_gate_in_progress", "Requests that wait or run at the gate."))
@@ -53,6 +55,12 @@
             .Observe(seconds(latency));
 }
 
+void mesh_metrics::evacuationsChanged(std::size_t zones, bool isOwnEvacuated)
+{
+    m_evacuatedZones.Set(static_cast<double>(zones));
+    m_isEvacuated.Set(isOwnEvacuated ? 1 : 0);
+}
+
 void mesh_metrics::rangeMapChanged(std::uint64_t version, std::uint32_t ownKeys, std::size_t ranges)
 {
     const bool isNew = m_mapVersion.Value() != static_cast<double>(version);
--- a/src/mesh/internal/mesh_metrics.h
+++ b/src/mesh/internal/mesh_metrics.h
@@ -19,6 +19,7 @@
     void storeCall(std::string_view kind, bool isAnswered, duration latency);
     void rangeMapChanged(std::uint64_t version, std::uint32_t ownKeys, std::size_t ranges);
     void configurationApplied(std::uint64_t version);
+    void evacuationsChanged(std::size_t zones, bool isOwnEvacuated);
     /// How late the event loop ran a timer.
     void loopLag(duration);
     void gateLoad(double load, double demand, std::size_t waiting);
@@ -32,6 +33,8 @@
     prometheus::Gauge& m_ranges;
     prometheus::Counter& m_mapChanges;
     prometheus::Gauge& m_configurationVersion;
+    prometheus::Gauge& m_evacuatedZones;
+    prometheus::Gauge& m_isEvacuated;
     prometheus::Gauge& m_load;
     prometheus::Gauge& m_demand;
     prometheus::Gauge& m_waiting;
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -8,6 +8,7 @@
 #include "mesh/internal/gate_service.h"
 #include "mesh/internal/member_registry.h"
 #include "mesh/internal/mesh_metrics.h"
+#include "mesh/internal/operator_rows.h"
 #include "mesh/internal/owner_exchange.h"
 #include "mesh/internal/ownership.h"
 #include "mesh/internal/peer_watch.h"
@@ -139,14 +140,18 @@
                       },
                       [this](duration lag) { recordLag(lag); } })
             , m_ownerExchange(m_settings, m_directory, m_ownership)
+            , m_operatorRows({ base, m_settings, m_port, m_routes, m_directory, m_gate, m_ownership, m_metrics,
+                  [this] { onConfigurationApplied(); }, [this] { return m_configurationWatcher.currentAt(); } })
             , m_random(seededRandom(hashBytes(m_settings.node)))
             , m_configurationWatcher(base, *m_store, m_port.configurationRow.table, configurationTiming,
-                  { [this](const row_change& row) { onConfigurationChanged(row); }, nullptr, nullptr,
-                      [this] { return m_tables.place(); }, m_random })
+                  { [this](const row_change& row) { m_operatorRows.onRowChanged(row); },
+                      [this] { m_operatorRows.onTableRead(); }, nullptr, [this] { return m_tables.place(); },
+                      m_random })
             , m_memberWatcher(base, *m_store, member_registry::table, memberTiming,
                   { [this](const row_change& row) { m_registry.onRowChanged(row); },
                       [this] {
                           m_registry.onTableRead(m_memberWatcher.copy().era());
+                          m_operatorRows.onMembersRead();
                           m_crashExchange.askForMissed();
                       },
                       [this](bool isAvailable) {
@@ -210,6 +215,7 @@
 
         void start() override
         {
+            m_operatorRows.start();
             m_configurationWatcher.start();
             m_memberWatcher.start();
             m_tables.start();
@@ -270,7 +276,10 @@
             std::vector<owner_candidate> out;
             if (!isPartitioned() || !m_registry.isRead())
                 return out;
+            const bool isWhollyEvacuated = m_directory.isWhollyEvacuated(m_settings.service);
             for (const auto* peer : m_directory.available(m_settings.service, now)) {
+                if (!isWhollyEvacuated && m_directory.isEvacuated(peer->member))
+                    continue;
                 const bool isSelf = peer->member.node == m_settings.node;
                 const double load = isSelf ? m_gate.load().demand : peer->load.demand;
                 const bool isRecent = isSelf || (peer->loadAt != time_point::min() && now - peer->loadAt < maxLoadAge);
@@ -279,30 +288,8 @@
             return out;
         }
 
-        void onConfigurationChanged(const row_change& row)
+        void onConfigurationApplied()
         {
-            if (row.key != m_port.configurationRow || !row.value)
-                return;
-            const auto startedAt = boot_clock::now();
-            auto configuration = m_port.decodeConfiguration(*row.value);
-            if (configuration.has_error()) {
-                logEvent(log_event::configuration_rejected, { { "reason", configuration.error().message } });
-                return;
-            }
-            const auto version = configuration.value().version;
-            if (!m_routes.apply(std::move(configuration).value()))
-                return;
-            m_metrics.configurationApplied(version);
-            logEvent(log_event::configuration_applied,
-                { { "version", std::to_string(version) }, { "row_version", std::to_string(row.version) },
-                    { "bytes", std::to_string(row.value->size()) },
-                    { "routes", std::to_string(m_routes.configuration().routes.size()) },
-                    { "apply_ms", millisecondsText(boot_clock::now() - startedAt) } });
-            for (const auto& route : m_routes.configuration().routes) {
-                if (route.hasUnknownType)
-                    logEvent(log_event::route_type_unknown,
-                        { { "route", route.name }, { "version", std::to_string(version) } });
-            }
             const auto& limits = m_routes.configuration().limits;
             const auto idle = std::chrono::duration_cast<std::chrono::seconds>(limits.idleTimeout).count();
             m_entryServer->setLimits(
@@ -475,6 +462,7 @@
         range_replicas m_replicas;
         peer_watch m_watch;
         owner_exchange m_ownerExchange;
+        operator_rows m_operatorRows;
         random_function m_random;
         table_watcher m_configurationWatcher;
         table_watcher m_memberWatcher;
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -163,6 +163,19 @@
     propose();
 }
 
+void ownership::setEvacuated(bool isEvacuated)
+{
+    if (std::exchange(m_isEvacuated, isEvacuated) != isEvacuated)
+        propose();
+}
+
+/// The candidates of an evacuated zone are those of other zones. If there are none in any other zone, moving the keys
+/// would gain nothing.
+bool ownership::isMovingOut() const
+{
+    return m_isDraining || (m_isEvacuated && !isCandidate(m_holdManager.life(), m_hooks.candidates()));
+}
+
 void ownership::advance()
 {
     const auto now = m_hooks.now();
@@ -277,7 +290,7 @@
 {
     // A holder that is cut off from the store may keep its keys beyond its lease if all other owners promised,
     // including this node and its previous process. Keys are not moved while such a promise may be valid.
-    const bool mayMove = !m_isDraining && m_storeAnswered && now >= m_startedAt + startupGracePeriod
+    const bool mayMove = !isMovingOut() && m_storeAnswered && now >= m_startedAt + startupGracePeriod
         && m_map.hasOwner(m_holdManager.life())
         && std::ranges::none_of(m_promisedUntil, [&](const auto& entry) { return now < entry.second; });
     return mayMove ? m_hooks.balance(map, nextFence(), now) : map;
@@ -293,21 +306,22 @@
         return firstMapOfEra(now);
     range_edit withoutEnded(m_map);
     const auto& life = m_holdManager.life();
+    const bool isLeaving = isMovingOut();
     for (const auto& ended : m_endedLives) {
         if (ended == m_previousLife && life.empty())
             continue;
         // Only a later life of the same backend server takes over its ranges unchanged.
-        const bool hasSuccessor = !life.empty() && life != ended && !m_isDraining && ended == m_previousLife;
+        const bool hasSuccessor = !life.empty() && life != ended && !isLeaving && ended == m_previousLife;
         withoutEnded.replace(ended, hasSuccessor ? life : life_name(), nextFence());
     }
     range_map next = withoutEnded.finish();
     if (!life.empty()) {
-        if (m_isDraining || now >= m_exclusiveReleaseDueAt)
+        if (isLeaving || now >= m_exclusiveReleaseDueAt)
             next = m_holdManager.releaseExclusivelyHeld(next);
         next = m_holdManager.releaseUnheld(next, now);
         next = releaseAfterSilence(next, now);
     }
-    if (m_isDraining) {
+    if (isLeaving) {
         std::vector<range_candidate> others;
         for (const auto& candidate : m_hooks.candidates())
             others.push_back(candidate.range);
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -91,6 +91,9 @@
     void onOtherBackendEnded(const life_name&);
     /// Assigns the keys of the draining backend server to others.
     void startDrain();
+    /// During an evacuation, assigns the keys of the backend server to the candidates, unless it is one itself. Keys
+    /// that are not assigned yet at its end stay.
+    void setEvacuated(bool);
     /// Sets the life that the backend server had before this process started, until its first heartbeat.
     void setPresumedLife(const life_name&);
 
@@ -153,6 +156,8 @@
     void backOff();
     bool isGrantImminent(const owned_range&) const;
     bool isCandidate(const life_name&, const std::vector<owner_candidate>&) const;
+    /// Whether the keys of the backend server are to be assigned to others.
+    bool isMovingOut() const;
     /// Whether keys have no owner, or one that is no candidate.
     static bool hasOrphans(const range_map&, const std::vector<owner_candidate>&);
 
@@ -175,6 +180,7 @@
     time_point m_exclusiveReleaseDueAt = time_point::min();
     std::set<row_key> m_earlierRows; ///< Rows of earlier eras that exist in this one.
     bool m_isDraining = false;
+    bool m_isEvacuated = false; ///< The operator has evacuated the zone, for all lives of the backend server.
     std::set<life_name> m_endedLives; ///< Lives that are certain to have ended and may still be in the map.
     std::map<fencing_token, time_point> m_firstSeenAt; ///< Time at which this process first saw an assignment.
     life_name m_previousLife; ///< Previous life of the backend server beside this node.
