--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -195,8 +195,10 @@
         return answer(id, refusal(error_code::connection_failed));
     if (entry.request.service != m_settings.service)
         return answer(id, refusal(error_code::not_owner));
-    if (now >= m_closesAt || isEvacuated(entry, now))
+    if (now >= m_closesAt)
         return answer(id, refusal(error_code::draining));
+    if (isEvacuated(entry, now))
+        return answer(id, evacuationRefusal());
     if (const auto late = deliveryLateness(entry, now); late > duration()) {
         auto refused = refusal(error_code::overloaded);
         refused.retryAfter = std::max(refused.retryAfter, late);
@@ -228,10 +230,13 @@
 {
     auto& entry = m_requests.at(id);
     const auto now = boot_clock::now();
-    const bool isClosed = now >= m_closesAt || isEvacuated(entry, now);
-    if (isClosed || now >= entry.request.deadline) {
+    if (now >= m_closesAt || now >= entry.request.deadline) {
         m_queue.finish(id, std::nullopt);
-        return answer(id, refusal(isClosed ? error_code::draining : error_code::deadline_exceeded));
+        return answer(id, refusal(now >= m_closesAt ? error_code::draining : error_code::deadline_exceeded));
+    }
+    if (isEvacuated(entry, now)) {
+        m_queue.finish(id, std::nullopt);
+        return answer(id, evacuationRefusal());
     }
     if (entry.request.key && m_hooks.keyAccess(*entry.request.key) != key_access::serve) {
         m_queue.finish(id, std::nullopt);
@@ -399,6 +404,14 @@
         m_hooks.onEvacuationEnded();
 }
 
+/// Free slots of this backend server are of no use to the request; another one may get the key soon.
+gate_answer gate_service::evacuationRefusal() const
+{
+    auto answer = refusal(error_code::draining);
+    answer.retryAfter = retryAfterKeyMove;
+    return answer;
+}
+
 bool gate_service::isEvacuated(const gate_request& entry, time_point now) const
 {
     return m_evacuation.refuses(entry.request.key.has_value(), now);
@@ -417,7 +430,7 @@
     }
     for (const auto id : refused) {
         m_queue.cancel(id);
-        answer(id, refusal(error_code::draining));
+        answer(id, evacuationRefusal());
     }
 }
 
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -123,6 +123,7 @@
     gate_answer refusal(error_code) const;
     void answer(request_number, gate_answer);
     bool isEvacuated(const gate_request&, time_point now) const;
+    gate_answer evacuationRefusal() const;
     /// Refuses the requests that wait for a slot or a key and may no longer be sent.
     void refuseEvacuated();
     void sweep();
