Order a backend server's queue by the caller's urgency; reserve slots for calls

Nested requests went before all others, so that calls made for the least urgent requests took the slots of the most urgent kind. Requests that wait for calls of theirs could also take all slots of two services that call each other, until their deadlines.

With `ranksByCaller`, priority goes first and nested requests before others of the same priority. Waits count the service times of the requests before a request and the share of the slots that more urgent ones take. Requests that cause h levels of calls take at most `slots - h` slots once nested requests have been seen. Without the setting nothing changes.

--- a/src/gate/internal/slot_queue.cpp
+++ b/src/gate/internal/slot_queue.cpp
@@ -1,5 +1,7 @@
 #include "gate/slot_queue.h"
 
+#include "admission/seconds.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -15,6 +17,7 @@
     /// Lower bound on the share of slots for late requests: they get one occasionally even if all recent ones went to
     /// others.
     constexpr double minLateShare = 0.05;
+    constexpr auto startedWorkTimeConstant = std::chrono::seconds(1); ///< Demand changes within seconds.
     constexpr std::size_t maxKinds = 256; ///< Bounds the memory; kinds come from the configuration.
 
     duration movingAverage(duration average, duration value)
@@ -27,10 +30,18 @@
 slot_queue::slot_queue(const slot_queue_settings& settings)
     : m_settings(settings)
     , m_meanServiceTime(settings.initialServiceTime)
+    , m_startedWork { decaying_sum(startedWorkTimeConstant), decaying_sum(startedWorkTimeConstant),
+        decaying_sum(startedWorkTimeConstant), decaying_sum(startedWorkTimeConstant) }
 {
+    static_assert(urgencyLevels == 4);
+    m_reservation.setSlots(settings.slots);
 }
 
-void slot_queue::setSlots(int slots) { m_settings.slots = std::max(1, slots); }
+void slot_queue::setSlots(int slots)
+{
+    m_settings.slots = std::max(1, slots);
+    m_reservation.setSlots(m_settings.slots);
+}
 
 duration slot_queue::serviceTime(const std::string& kind) const
 {
@@ -58,10 +69,56 @@
     return std::chrono::duration_cast<duration>(m_meanServiceTime * (slotsNeeded / static_cast<double>(slots)));
 }
 
+duration slot_queue::expectedWaitBehind(const std::vector<waiting_share>& ahead, int callHeight) const
+{
+    return m_settings.ranksByCaller ? rankedWait(ahead, callHeight) : expectedWaitBehind(ahead.size());
+}
+
+duration slot_queue::rankedWait(const std::vector<waiting_share>& ahead, int callHeight) const
+{
+    duration wait {};
+    for (int level = 0; level <= m_reservation.levelOf(callHeight); ++level) {
+        const int slots = m_reservation.slotsFor(level);
+        int count = 0;
+        duration work {};
+        const auto add = [&](int height, duration serviceTime) {
+            if (m_reservation.levelOf(height) < level)
+                return;
+            ++count;
+            work += serviceTime;
+        };
+        for (const auto& [id, request] : m_running)
+            add(request.callHeight, serviceTime(request.kind));
+        for (const auto& request : ahead)
+            add(request.callHeight, request.serviceTime);
+        if (count >= slots)
+            wait = std::max(wait, work / count * (count - slots + 1) / slots);
+    }
+    return wait;
+}
+
+double slot_queue::shareLeftTo(int priority) const
+{
+    if (!m_settings.ranksByCaller)
+        return 1;
+    double taken = 0;
+    for (std::size_t level = 0; level < urgencyLevel(priority); ++level)
+        taken += m_startedWork[level].rate(m_lastStartAt) / m_settings.slots;
+    return std::max(1 - taken, minLateShare);
+}
+
 duration slot_queue::expectedWait() const { return expectedWaitBehind(m_waiting.size()); }
 
 duration slot_queue::expectedWait(int priority) const
 {
+    if (m_settings.ranksByCaller) {
+        std::vector<waiting_share> ahead;
+        for (const auto& request : m_waiting) {
+            if (request.priority <= priority)
+                ahead.push_back({ request.callHeight, serviceTime(request.kind) });
+        }
+        return std::chrono::duration_cast<duration>(rankedWait(ahead, 0) / shareLeftTo(priority));
+    }
     return expectedWaitBehind(static_cast<std::size_t>(std::ranges::count_if(
         m_waiting, [&](const auto& request) { return request.isNested || request.priority <= priority; })));
 }
@@ -73,45 +130,79 @@
     return now + serviceTime(request.kind) > request.objective;
 }
 
+bool slot_queue::mayBeOvertaken(const queued_request& request) const
+{
+    return m_settings.ranksByCaller || !request.isNested;
+}
+
 bool slot_queue::precedes(const queued_request& left, const queued_request& right, time_point now) const
 {
     const auto rank = [&](const queued_request& request) {
         const bool isAfterObjective = isLate(request, now);
-        return std::tuple(!request.isNested, request.priority, isAfterObjective,
+        const int isOther = request.isNested ? 0 : 1;
+        return std::tuple(m_settings.ranksByCaller ? request.priority : isOther,
+            m_settings.ranksByCaller ? isOther : request.priority, isAfterObjective,
             isAfterObjective ? request.deadline : request.objective, request.id);
     };
     return rank(left) < rank(right);
 }
 
-std::size_t slot_queue::countAhead(const queued_request& request, time_point now) const
+std::vector<slot_queue::waiting_share> slot_queue::waitingAhead(const queued_request& request, time_point now) const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_waiting, [&](const auto& other) { return precedes(other, request, now); }));
+    std::vector<waiting_share> ahead;
+    for (const auto& other : m_waiting) {
+        if (precedes(other, request, now))
+            ahead.push_back({ other.callHeight, serviceTime(other.kind) });
+    }
+    return ahead;
 }
 
 bool slot_queue::isWorthWaiting(const queued_request& request, time_point now) const
 {
     const auto needed = serviceTime(request.kind);
-    const auto end = now + expectedWaitBehind(countAhead(request, now)) + needed;
+    const auto wait = expectedWaitBehind(waitingAhead(request, now), request.callHeight);
+    const auto end = now + std::chrono::duration_cast<duration>(wait / shareLeftTo(request.priority)) + needed;
     if (end + std::chrono::duration_cast<duration>(needed * serviceTimeMargin) <= request.objective)
         return true;
-    if (request.isNested)
-        return end + needed / 2 <= request.deadline;
+    if (request.isNested) {
+        // Calls of one rank are ordered by their objectives like others, and are refused while another server can be
+        // tried.
+        const auto lateEnd = m_settings.ranksByCaller ? expectedLateEnd(request, wait, now) : end;
+        return std::max(end, lateEnd) + needed / 2 <= request.deadline;
+    }
     // Requests that can meet their objective overtake this one, so it is queued only if the queue is short.
     const bool isQueueShort = m_waiting.size() < static_cast<std::size_t>(m_settings.slots);
-    return isQueueShort && expectedLateEnd(request, countAhead(request, now), now) + needed / 2 <= request.deadline;
+    return isQueueShort && expectedLateEnd(request, wait, now) + needed / 2 <= request.deadline;
 }
 
-time_point slot_queue::expectedLateEnd(const queued_request& request, std::size_t ahead, time_point now) const
+time_point slot_queue::expectedLateEnd(const queued_request& request, duration waitBehind, time_point now) const
 {
     const double share = std::max(1 - m_overtakingShare, minLateShare);
-    return now + std::chrono::duration_cast<duration>(expectedWaitBehind(ahead) / share) + serviceTime(request.kind);
+    return now + std::chrono::duration_cast<duration>(waitBehind / share) + serviceTime(request.kind);
+}
+
+bool slot_queue::hasFreeSlotFor(const queued_request& request) const
+{
+    return m_reservation.mayStart(request.callHeight);
+}
+
+void slot_queue::start(const queued_request& request, time_point now)
+{
+    m_running[request.id] = { request.kind, now, request.callHeight };
+    m_reservation.onStarted(request.callHeight);
+    m_startedWork[urgencyLevel(request.priority)].add(inSeconds(serviceTime(request.kind)), now);
+    m_lastStartAt = now;
 }
 
 queue_decision slot_queue::submit(const queued_request& request, time_point now)
 {
-    if (m_waiting.empty() && m_running.size() < static_cast<std::size_t>(m_settings.slots)) {
-        m_running[request.id] = { request.kind, now };
+    if (m_settings.ranksByCaller && request.isNested)
+        m_reservation.enable();
+    const bool isOthersTurn = m_settings.ranksByCaller
+        ? std::ranges::any_of(m_waiting, [&](const auto& other) { return hasFreeSlotFor(other); })
+        : !m_waiting.empty();
+    if (!isOthersTurn && hasFreeSlotFor(request)) {
+        start(request, now);
         return queue_decision::run;
     }
     if (!isWorthWaiting(request, now))
@@ -127,6 +218,7 @@
         return;
     if (serviceTime)
         updateServiceTime(found->second.kind, *serviceTime);
+    m_reservation.onEnded(found->second.callHeight);
     m_running.erase(found);
 }
 
@@ -139,13 +231,14 @@
 {
     std::ranges::sort(m_waiting, [&](const auto& left, const auto& right) { return precedes(left, right, now); });
     std::vector<request_number> out;
-    std::size_t ahead = 0;
+    std::vector<waiting_share> ahead;
     std::erase_if(m_waiting, [&](const auto& request) {
         const auto needed = serviceTime(request.kind);
-        const bool isOvertakenTooLong = !request.isNested && isLate(request, now)
-            && expectedLateEnd(request, ahead, now) - needed / 2 > request.deadline;
+        const bool isOvertakenTooLong = mayBeOvertaken(request) && isLate(request, now)
+            && expectedLateEnd(request, expectedWaitBehind(ahead, request.callHeight), now) - needed / 2
+                > request.deadline;
         if (!isOvertakenTooLong && now + needed / 2 <= request.deadline) {
-            ++ahead;
+            ahead.push_back({ request.callHeight, needed });
             return false;
         }
         out.push_back(request.id);
@@ -156,18 +249,21 @@
 
 std::optional<request_number> slot_queue::takeNext(time_point now)
 {
-    if (m_waiting.empty() || m_running.size() >= static_cast<std::size_t>(m_settings.slots))
+    const queued_request* next = nullptr;
+    for (const auto& request : m_waiting) {
+        if (hasFreeSlotFor(request) && (!next || precedes(request, *next, now)))
+            next = &request;
+    }
+    if (!next)
         return std::nullopt;
-    const auto next = std::ranges::min_element(
-        m_waiting, [&](const auto& left, const auto& right) { return precedes(left, right, now); });
     const bool isOvertaking = !isLate(*next, now);
     const bool isLateWaiting = std::ranges::any_of(
-        m_waiting, [&](const auto& request) { return isLate(request, now) && !request.isNested; });
+        m_waiting, [&](const auto& request) { return isLate(request, now) && mayBeOvertaken(request); });
     if (isLateWaiting)
         m_overtakingShare += ((isOvertaking ? 1 : 0) - m_overtakingShare) * overtakingSmoothing;
     const request_number id = next->id;
-    m_running[id] = { next->kind, now };
-    m_waiting.erase(next);
+    start(*next, now);
+    cancel(id);
     return id;
 }
 
--- a/src/gate/slot_queue.h
+++ b/src/gate/slot_queue.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "admission/decaying_sum.h"
+#include "admission/server_status.h"
 #include "base/clock.h"
+#include "gate/slot_reservation.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,6 +24,7 @@
     std::string kind; ///< Requests of one kind have similar service times.
     time_point objective {}; ///< Latency objective: an answer should be sent by then.
     time_point deadline {}; ///< A later answer is useless to the caller.
+    int callHeight = 0; ///< Levels of nested calls that it causes; see slot_reservation.
 
     bool operator==(const queued_request&) const = default;
 };
@@ -33,13 +38,16 @@
 struct slot_queue_settings {
     int slots = 1;
     duration initialServiceTime = std::chrono::milliseconds(100); ///< Initial estimate, until requests have ended.
+    /// The priority of a nested request is that of the request that it is made for.
+    bool ranksByCaller = false;
 
     bool operator==(const slot_queue_settings&) const = default;
 };
 
 /// Queue for the slots of one backend server. Order: nested requests first, since their callers occupy slots while they
 /// wait; then by priority; then requests that can still meet their objective, by objective; then the others, by
-/// deadline.
+/// deadline. If it ranks by caller, priority comes first and nested requests go before others of the same priority;
+/// requests that make calls then leave slots to those that make fewer levels of calls.
 class slot_queue {
 public:
     explicit slot_queue(const slot_queue_settings&);
@@ -73,16 +81,30 @@
     struct running_request {
         std::string kind;
         time_point startedAt;
+        int callHeight = 0;
+    };
+    struct waiting_share {
+        int callHeight = 0;
+        duration serviceTime {};
     };
 
+    bool hasFreeSlotFor(const queued_request&) const;
+    void start(const queued_request&, time_point now);
     duration expectedWaitBehind(std::size_t ahead) const;
+    /// The same without requests that arrive later, by the service times of the given requests before it.
+    duration expectedWaitBehind(const std::vector<waiting_share>& ahead, int callHeight) const;
+    duration rankedWait(const std::vector<waiting_share>& ahead, int callHeight) const;
+    /// Share of the slots that is left by more urgent requests.
+    double shareLeftTo(int priority) const;
+    /// Whether requests that are not late go before it once it is late.
+    bool mayBeOvertaken(const queued_request&) const;
     bool isLate(const queued_request&, time_point now) const;
     bool isWorthWaiting(const queued_request&, time_point now) const;
-    /// Expected end of a late request with the given number of requests before it, while requests that are not late
+    /// Expected end of a late request with this wait for the requests before it, while requests that are not late
     /// overtake it.
-    time_point expectedLateEnd(const queued_request&, std::size_t ahead, time_point now) const;
+    time_point expectedLateEnd(const queued_request&, duration waitBehind, time_point now) const;
     bool precedes(const queued_request&, const queued_request&, time_point now) const;
-    std::size_t countAhead(const queued_request&, time_point now) const;
+    std::vector<waiting_share> waitingAhead(const queued_request&, time_point now) const;
     void updateServiceTime(const std::string& kind, duration);
 
     slot_queue_settings m_settings;
@@ -92,6 +114,10 @@
     duration m_meanServiceTime;
     /// Share of the freed slots that went to requests overtaking a late one, averaged while late requests waited.
     double m_overtakingShare = 0;
+    slot_reservation m_reservation;
+    /// Seconds of expected work of started requests, by urgency level.
+    std::array<decaying_sum, urgencyLevels> m_startedWork;
+    time_point m_lastStartAt {};
 };
 
 } // namespace heatherdrift
