Send the priority of the outer request with nested calls; refuse executions without capacity

With `scheduling.rank_by_caller`, the entry node beside a calling backend server states the priority of the request that a call is made for (`heatherdrift-outer`), and the gate of the called one uses it if the route counts as nested. Its answer tells that (`heatherdrift-nested-height`), so that the calling node learns the calls of its backend server. A request whose calls have no capacity is refused before it runs (E1915), with `heatherdrift-final`, so that it is not sent to other gates of the service, which would refuse it for the same reason. Executions that lose a call are counted and logged (E1916).

--- a/src/mesh/forward_protocol.h
+++ b/src/mesh/forward_protocol.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/failure.h"
 #include "base/store_types.h"
+#include "gate/nested_calls.h"
 #include "http/http_message.h"
 #include "ranges/range_map.h"
 
@@ -26,6 +27,8 @@
     bool isIdempotent = false;
     std::optional<key_number> key;
     std::string callerZone {}; ///< Availability zone of the entry node.
+    /// Request that this one is probably made for. The gate uses it if the route counts as nested.
+    std::optional<outer_request> outer {};
 };
 
 /// Version and freshness of a node's copy of a store table.
@@ -64,6 +67,9 @@
     bool reachedBackend = false; ///< The backend server received the request, whether it ran it or not.
     http_response response; ///< Response of the backend server, if it answered.
     duration retryAfter {}; ///< For a refusal: expected time until a slot is free.
+    bool isFinal = false; ///< For a refusal: other gates of the service would refuse the request for the same reason.
+    /// Levels of calls that the request's route causes, if the request counts as nested; see slot_reservation.
+    std::optional<int> nestedHeight {};
     /// From the moment at which the gate read the request to its answer; known if the backend server has not answered.
     duration timeAtGate {};
     gate_load load;
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -23,6 +23,7 @@
     constexpr int statusBadGateway = 502;
     constexpr int statusUnavailable = 503;
     constexpr int statusTimeout = 504;
+    constexpr int minFailureStatus = 500;
 
     bool isConnectionFailure(error_code reason)
     {
@@ -210,7 +211,7 @@
     if (!retry_time::isInTime(now + retryDelay(answer), m_request.deadline))
         return false;
     // All nodes of the service refuse a request that crashes backend servers.
-    if (answer.reason == error_code::quarantined || m_lostAttempts >= maxLostAttempts)
+    if (answer.reason == error_code::quarantined || answer.isFinal || m_lostAttempts >= maxLostAttempts)
         return false;
     if (answer.outcome == verdict::not_run && !answer.reachedBackend) {
         // Only the owner of a key can run the request, so its overload refusal is final.
@@ -228,6 +229,8 @@
         return;
     const auto now = boot_clock::now();
     observe(answer, now);
+    if (answer.nestedHeight)
+        m_nestedHeight = answer.nestedHeight;
     const auto node = m_attempt->node;
     m_attemptLog.append(m_attemptLog.empty() ? "" : " ").append(node).append(":");
     if (answer.outcome == verdict::ran)
@@ -269,8 +272,23 @@
         m_context.metrics->requestEnded(m_request.service, outcome, boot_clock::now() - m_receivedAt);
 }
 
+void entry_call::recordNested(call_outcome outcome)
+{
+    if (!m_possibleCall)
+        return;
+    const auto reason = m_lastAnswer ? m_lastAnswer->reason : error_code::overloaded;
+    // While keys move or a node restarts, a refusal does not tell a lack of capacity.
+    if (outcome == call_outcome::refused && reason != error_code::overloaded && reason != error_code::deadline_exceeded)
+        outcome = call_outcome::unknown;
+    m_context.gate.nestedCalls().onCallEnded(*m_possibleCall, outcome, m_nestedHeight, boot_clock::now());
+}
+
 void entry_call::respond(http_response response)
 {
+    const auto status = response.head.status;
+    recordNested(status == statusUnavailable || status == statusTimeout ? call_outcome::refused
+            : status < minFailureStatus                                 ? call_outcome::answered
+                                                                        : call_outcome::unknown);
     count(std::to_string(response.head.status));
     m_exchange->respond(std::move(response));
     end();
@@ -300,6 +318,9 @@
     if (m_isDone)
         return;
     count("abandoned");
+    // The backend server gave the call up, at its deadline or because the call is of no more use.
+    const bool isLate = boot_clock::now() + retry_time::minTimeLeft >= m_request.deadline;
+    recordNested(isLate ? call_outcome::refused : call_outcome::unknown);
     logEnd(log_event::request_abandoned, m_attempt ? m_attempt->node : "between_attempts");
     if (m_attempt) {
         if (!m_request.key) {
--- a/src/mesh/internal/entry_call.h
+++ b/src/mesh/internal/entry_call.h
@@ -10,6 +10,8 @@
 public:
     entry_call(entry_service&, http_exchange_ptr, routed_request, const route&);
 
+    /// The request may be a call that the backend server beside this node makes for another request.
+    void setNested(std::optional<possible_call> call) { m_possibleCall = std::move(call); }
     void begin();
 
 private:
@@ -39,6 +41,7 @@
     void cancel();
     void end();
     void count(std::string_view outcome) const;
+    void recordNested(call_outcome);
     void logEnd(log_event, std::string_view reason) const;
 
     entry_service& m_service;
@@ -58,6 +61,8 @@
     timer m_retry;
     bool m_mayHaveRun = false; ///< An attempt ended without proof that the request did not run.
     bool m_isDone = false;
+    std::optional<possible_call> m_possibleCall;
+    std::optional<int> m_nestedHeight; ///< As a gate reported it.
 };
 
 } // namespace heatherdrift
--- a/src/mesh/internal/entry_service.cpp
+++ b/src/mesh/internal/entry_service.cpp
@@ -75,6 +75,19 @@
     exchange->respond({ { statusNotFound, {} }, "" });
 }
 
+std::optional<possible_call> entry_service::attributeCall(
+    routed_request& request, const std::optional<duration>& timeout, time_point now) const
+{
+    if (!request.isFromOwnHost)
+        return std::nullopt;
+    const auto deadline = timeout ? std::optional(now + *timeout) : std::nullopt;
+    auto call
+        = m_context.gate.nestedCalls().attribute({ request.route, request.service, request.objective, deadline }, now);
+    if (call)
+        request.outer = { call->parent.priority, std::min(call->parent.depth + 1, maxCallDepth) };
+    return call;
+}
+
 void entry_service::handle(http_exchange_ptr exchange)
 {
     const auto now = boot_clock::now();
@@ -107,6 +120,7 @@
     request.objective = route->latencyObjective > duration::zero() ? now + route->latencyObjective : request.deadline;
     request.objective -= m_ages.estimate(route->name, callerTimeout);
     request.isIdempotent = route->isIdempotent;
+    auto possibleCall = attributeCall(request, caller.timeout, now);
     const auto* service = m_context.routes.service(request.service);
     if (service && service->isPartitioned)
         request.key = caller.key;
@@ -118,6 +132,7 @@
                 { "service", request.service } });
     budget(request.service).recordFirstAttempt(now);
     auto call = std::make_shared<entry_call>(*this, std::move(exchange), std::move(request), *route);
+    call->setNested(std::move(possibleCall));
     m_calls.insert(call);
     call->begin();
 }
--- a/src/mesh/internal/entry_service.h
+++ b/src/mesh/internal/entry_service.h
@@ -59,6 +59,9 @@
     duration withJitter(duration);
     retry_budget& budget(const std::string& service);
 
+    /// Finds the request that the backend server makes a request from the own host for, and notes it in the request.
+    std::optional<possible_call> attributeCall(
+        routed_request&, const std::optional<duration>& timeout, time_point now) const;
     void refuse(const http_exchange_ptr&, duration retryAfter);
     void answerWithoutRoute(const http_exchange_ptr&);
 
--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -35,6 +35,9 @@
     /// Waits by urgency, service time, slowdown, and of a cold backend server its three figures; separated by commas.
     constexpr const char* statusHeader = "heatherdrift-status";
     constexpr const char* tablesHeader = "heatherdrift-tables"; ///< Four numbers, separated by commas.
+    constexpr const char* outerHeader = "heatherdrift-outer"; ///< Priority and depth, separated by a comma.
+    constexpr const char* nestedHeader = "heatherdrift-nested-height";
+    constexpr const char* finalHeader = "heatherdrift-final";
     constexpr double permille = 1000;
     constexpr int statusRefused = 503;
     /// Bounds for the numbers of other nodes, which leave room for sums with points in time.
@@ -163,6 +166,21 @@
         return status;
     }
 
+    std::string encodeOuter(const outer_request& outer)
+    {
+        return std::to_string(outer.priority) + "," + std::to_string(outer.depth);
+    }
+
+    /// Empty if it is malformed: the route's own priority applies then.
+    std::optional<outer_request> decodeOuter(std::string_view text)
+    {
+        const auto numbers = parseNumbers(text);
+        if (numbers.size() != 2 || numbers[0] > INT_MAX || numbers[1] < 1)
+            return std::nullopt;
+        return outer_request { static_cast<int>(numbers[0]),
+            static_cast<int>(std::min<std::int64_t>(numbers[1], maxCallDepth)) };
+    }
+
     std::optional<table_statements> decodeTables(std::string_view text)
     {
         const auto numbers = parseNumbers(text);
@@ -193,6 +211,8 @@
         headers.add(keyHeader, std::to_string(*request.key));
     if (!request.callerZone.empty())
         headers.add(zoneHeader, request.callerZone);
+    if (request.outer)
+        headers.add(outerHeader, encodeOuter(*request.outer));
     return out;
 }
 
@@ -219,6 +239,7 @@
     request.isFromOwnHost = !reader.text(ownHostHeader).empty();
     request.isIdempotent = !reader.text(idempotentHeader).empty();
     request.callerZone = reader.text(zoneHeader);
+    request.outer = decodeOuter(reader.text(outerHeader));
     if (const auto text = reader.text(keyHeader); !text.empty()) {
         // Without its key, the request would run on a backend server that may not hold it.
         const auto key = parseNumber(text);
@@ -240,7 +261,11 @@
         headers.add(errorHeader, std::string(toString(answer.reason)));
         headers.add(retryAfterHeader, microseconds(answer.retryAfter));
         headers.add(timeAtGateHeader, microseconds(answer.timeAtGate));
+        if (answer.isFinal)
+            headers.add(finalHeader, "1");
     }
+    if (answer.nestedHeight)
+        headers.add(nestedHeader, std::to_string(*answer.nestedHeight));
     headers.add(verdictHeader, std::string(toString(answer.outcome)));
     if (answer.reachedBackend)
         headers.add(reachedHeader, "1");
@@ -286,6 +311,9 @@
     answer.timeAtGate = duration(reader.numberIn(timeAtGateHeader, 0, maxTimeout));
     // A request that may have run has reached the backend server, with or without the header.
     answer.reachedBackend = !reader.text(reachedHeader).empty() || answer.outcome != verdict::not_run;
+    answer.isFinal = !reader.text(finalHeader).empty();
+    if (const auto height = reader.number(nestedHeader); height && *height >= 0)
+        answer.nestedHeight = static_cast<int>(std::min<std::int64_t>(*height, maxCallHeight));
     answer.load.life = reader.text(lifeHeader);
     answer.load.load = static_cast<double>(reader.numberIn(loadHeader, 0, maxPermille)) / permille;
     answer.load.demand = static_cast<double>(reader.numberIn(demandHeader, 0, maxPermille)) / permille;
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -44,7 +44,8 @@
     , m_memory(createMessageMemory(settings.memoryBytes))
     , m_hooks(std::move(hooks))
     , m_client(http_client::create(base, settings.backend, clientOptions(64)))
-    , m_queue({})
+    , m_queue({ .ranksByCaller = settings.scheduling.ranksByCaller })
+    , m_nested(settings.scheduling.ranksByCaller, m_hooks.statuses)
     , m_keyLoad(keyLoadTimeConstant)
     , m_sweep(base, [this] { sweep(); })
 {
@@ -172,7 +173,7 @@
     }
     m_origins.record(request.route, request.callerService);
     m_requests[id] = { std::move(request), std::move(onAnswer), false, deliveryTime, std::move(hasCallerLeft), now, {},
-        nullptr, fingerprint };
+        nullptr, fingerprint, false, std::nullopt };
     submit(id);
     return id;
 }
@@ -213,8 +214,11 @@
         m_keyLoad.add(*entry.request.key, 1, now);
     }
     const auto& request = entry.request;
-    const auto decision = m_queue.submit({ id, request.isFromOwnHost && m_origins.isNested(request.route),
-                                             request.priority, request.route, request.objective, request.deadline },
+    entry.isNested = request.isFromOwnHost && m_origins.isNested(request.route);
+    if (auto refused = refusalForCalls(entry, now))
+        return answer(id, std::move(*refused));
+    const auto decision = m_queue.submit({ id, entry.isNested, priorityOf(entry), request.route, request.objective,
+                                             request.deadline, m_nested.callHeight(request.route, depthOf(entry)) },
         now);
     if (decision == queue_decision::run)
         return run(id);
@@ -223,6 +227,44 @@
     scheduleSweep();
 }
 
+int gate_service::priorityOf(const gate_request& entry) const
+{
+    const bool ranksByCaller = m_settings.scheduling.ranksByCaller && entry.isNested && entry.request.outer;
+    return ranksByCaller ? entry.request.outer->priority : entry.request.priority;
+}
+
+int gate_service::depthOf(const gate_request& entry) const
+{
+    return entry.isNested && entry.request.outer ? entry.request.outer->depth : 0;
+}
+
+std::optional<gate_answer> gate_service::refusalForCalls(gate_request& entry, time_point now)
+{
+    // A request that has waited for its key was let through before.
+    if (entry.calls)
+        return std::nullopt;
+    entry.calls = m_nested.admit(entry.request.route, priorityOf(entry), now);
+    if (entry.calls->isAdmitted)
+        return std::nullopt;
+    auto refused = refusal(error_code::overloaded);
+    refused.retryAfter = std::max(refused.retryAfter, entry.calls->retryAfter);
+    refused.isFinal = true;
+    logEvent(log_event::request_refused_for_calls,
+        { { "request", entry.request.id }, { "route", entry.request.route }, { "called", entry.calls->service },
+            { "retry_after_ms", millisecondsText(refused.retryAfter) } });
+    return refused;
+}
+
+void gate_service::recordEnd(request_number id, const gate_request& entry, const gate_answer& answer, time_point now)
+{
+    const bool isGood = answer.outcome == verdict::ran && answer.response.head.status < minFailureStatus;
+    if (m_nested.onEnded(id, answer.outcome == verdict::ran, isGood, now))
+        logEvent(log_event::execution_lost_call,
+            { { "request", entry.request.id }, { "route", entry.request.route },
+                { "status", answer.outcome == verdict::ran ? std::to_string(answer.response.head.status) : "" },
+                { "ran_ms", millisecondsText(now - entry.startedAt) } });
+}
+
 void gate_service::run(request_number id)
 {
     auto& entry = m_requests.at(id);
@@ -242,6 +284,9 @@
     if (m_hooks.onRun)
         m_hooks.onRun(entry.fingerprint, m_backend.life);
     entry.startedAt = now;
+    m_nested.onStarted(id,
+        { entry.request.route, priorityOf(entry), depthOf(entry), entry.request.deadline,
+            entry.calls ? entry.calls->rate : 0 });
     http_request message = entry.request.message;
     m_port.addBackendHeaders(
         message.headers, { m_backend.id, entry.request.callerService, entry.request.deadline - now });
@@ -271,6 +316,7 @@
     recordOutcome(fingerprint, classified, now);
     const bool isUsual = classified.outcome == verdict::ran && isSuccess(classified.response.head.status);
     m_queue.finish(id, isUsual ? std::optional(now - found->second.startedAt) : std::nullopt);
+    recordEnd(id, found->second, classified, now);
     classified.load = load();
     if (classified.outcome == verdict::may_have_run) {
         logEvent(log_event::request_lost,
@@ -325,6 +371,8 @@
         return;
     const auto call = std::move(found->second.answer);
     result.timeAtGate = boot_clock::now() - found->second.receivedAt;
+    if (found->second.isNested && m_settings.scheduling.ranksByCaller)
+        result.nestedHeight = m_nested.callHeight(found->second.request.route, 0);
     if (found->second.isAwaitingKey)
         --m_awaitingKeys;
     m_requests.erase(found);
@@ -338,6 +386,7 @@
         return;
     m_queue.cancel(id);
     m_queue.finish(id, std::nullopt);
+    m_nested.onCancelled(id);
     if (found->second.isAwaitingKey)
         --m_awaitingKeys;
     if (const auto call = found->second.call)
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -3,6 +3,7 @@
 #include "admission/crash_suspects.h"
 #include "base/event_handle.h"
 #include "gate/crash_detector.h"
+#include "gate/nested_calls.h"
 #include "gate/request_origins.h"
 #include "gate/slot_queue.h"
 #include "gate/stated_load.h"
@@ -35,6 +36,7 @@
     std::function<void(request_fingerprint, const life_name&)> onRun {};
     std::function<void(request_fingerprint)> onAnswered {}; ///< The backend server has run a request to its answer.
     std::function<void(backend_crash)> onCrashed {}; ///< The backend server ended without a drain, at work on requests.
+    nested_calls::status_function statuses {}; ///< Statuses of the backend servers of a service.
 };
 
 /// The backend server beside this node, from its announcements.
@@ -81,6 +83,9 @@
     /// Bounds the requests and answers that this node holds, as gate and as entry node.
     const std::shared_ptr<byte_budget>& memory() const { return m_memory; }
     const key_load& keyLoad() const { return m_keyLoad; }
+    /// Calls that the backend server beside this node makes.
+    nested_calls& nestedCalls() { return m_nested; }
+    const nested_calls& nestedCalls() const { return m_nested; }
     std::size_t inProgress() const { return m_requests.size(); }
 
 private:
@@ -94,9 +99,16 @@
         time_point startedAt {};
         http_call_ptr call;
         request_fingerprint fingerprint = 0;
+        bool isNested = false;
+        std::optional<call_decision> calls; ///< Once it has been made.
     };
 
     void submit(request_number);
+    int priorityOf(const gate_request&) const;
+    int depthOf(const gate_request&) const;
+    /// The refusal of a request whose calls would find no capacity; empty if it may run.
+    std::optional<gate_answer> refusalForCalls(gate_request&, time_point now);
+    void recordEnd(request_number, const gate_request&, const gate_answer&, time_point now);
     std::optional<time_point> refusedUntil(request_fingerprint, time_point now) const;
     gate_answer crashRefusal(time_point until, time_point now) const;
     void recordOutcome(request_fingerprint, const gate_answer&, time_point now);
@@ -127,6 +139,7 @@
     std::unique_ptr<http_client> m_client;
     slot_queue m_queue;
     request_origins m_origins;
+    nested_calls m_nested;
     crash_detector m_crashes;
     key_load m_keyLoad;
     stated_load m_statedLoad;
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -149,6 +149,16 @@
     return out;
 }
 
+std::vector<reported_status> mesh_directory::statuses(const std::string& service, time_point now) const
+{
+    std::vector<reported_status> out;
+    for (const auto* peer : available(service, now)) {
+        if (peer->load.status && !peer->load.isDraining)
+            out.push_back({ *peer->load.status, now - peer->loadAt });
+    }
+    return out;
+}
+
 bool mesh_directory::isUnreachable(const mesh_peer& peer, time_point now) const
 {
     if (peer.member.node == m_settings.node || peer.failingSince == time_point::max())
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -2,6 +2,7 @@
 
 #include "admission/load_view.h"
 #include "base/store_types.h"
+#include "gate/call_capacity.h"
 #include "http/http_client.h"
 #include "mesh/forward_protocol.h"
 #include "mesh/member.h"
@@ -46,6 +47,9 @@
     /// Whether the node has not responded for so long that requests should go to other nodes.
     bool isUnreachable(const mesh_peer&, time_point now) const;
 
+    /// Last reported statuses of the backend servers of this service that accept requests.
+    std::vector<reported_status> statuses(const std::string& service, time_point now) const;
+
     bool hasAnsweredSince(const instance_id&, time_point) const;
     /// Nodes whose requests have all failed since before this time, at least minFailures of them.
     std::vector<instance_id> silentSince(time_point, int minFailures) const;
--- a/src/mesh/internal/mesh_metrics.cpp
+++ b/src/mesh/internal/mesh_metrics.cpp
@@ -18,6 +18,10 @@
     , m_load(m_registry.gauge("heatherdrift_gate_load", "Share of the slots in use or waited for."))
     , m_demand(m_registry.gauge("heatherdrift_gate_demand", "Slots that the keys need, per slot."))
     , m_waiting(m_registry.gauge("heatherdrift_gate_in_progress", "Requests that wait or run at the gate."))
+    , m_refusedForCalls(m_registry.counter("heatherdrift_gate_refused_for_calls_total",
+          "Requests refused before they ran, since their nested calls would find no capacity."))
+    , m_lostCalls(m_registry.counter(
+          "heatherdrift_gate_lost_calls_total", "Executions that ended badly after one of their calls was refused."))
 {
 }
 
@@ -74,6 +78,12 @@
         .Observe(seconds(lag));
 }
 
+void mesh_metrics::nestedCalls(std::uint64_t refused, std::uint64_t lost)
+{
+    m_refusedForCalls.Increment(static_cast<double>(refused) - m_refusedForCalls.Value());
+    m_lostCalls.Increment(static_cast<double>(lost) - m_lostCalls.Value());
+}
+
 void mesh_metrics::gateLoad(double load, double demand, std::size_t inProgress)
 {
     m_load.Set(load);
--- a/src/mesh/internal/mesh_metrics.h
+++ b/src/mesh/internal/mesh_metrics.h
@@ -21,6 +21,9 @@
     void configurationApplied(std::uint64_t version);
     /// How late the event loop ran a timer.
     void loopLag(duration);
+    /// Totals since the start: executions refused because of their calls, and those that ended badly after a refused
+    /// call.
+    void nestedCalls(std::uint64_t refused, std::uint64_t lost);
     void gateLoad(double load, double demand, std::size_t waiting);
 
     std::string text() const { return m_registry.text(); }
@@ -35,6 +38,8 @@
     prometheus::Gauge& m_load;
     prometheus::Gauge& m_demand;
     prometheus::Gauge& m_waiting;
+    prometheus::Counter& m_refusedForCalls;
+    prometheus::Counter& m_lostCalls;
 };
 
 /// Records metrics of the calls to a store.
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -80,7 +80,9 @@
                       [this](
                           request_fingerprint request, const life_name& life) { m_crashExchange.onRun(request, life); },
                       [this](request_fingerprint request) { m_crashExchange.onAnswer(request); },
-                      [this](const backend_crash& crash) { m_crashExchange.onCrash(crash); } })
+                      [this](const backend_crash& crash) { m_crashExchange.onCrash(crash); },
+                      [this](
+                          const std::string& service, time_point now) { return m_directory.statuses(service, now); } })
             , m_crashExchange(base, m_settings, m_directory, m_suspects)
             , m_ownership(base, m_settings, *m_store, { rangeTable, m_settings.service },
                   { boot_clock::now, [this] { return candidates(); },
@@ -358,6 +360,8 @@
                 return exchange->respond({ { statusNotFound, {} }, "" });
             const auto load = m_gate.load();
             m_metrics.gateLoad(load.load, load.demand, m_gate.inProgress());
+            const auto& calls = m_gate.nestedCalls();
+            m_metrics.nestedCalls(calls.refusedExecutions(), calls.lostExecutions());
             exchange->respond({ { 200, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_metrics.text() });
         }
 
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -126,6 +126,10 @@
         { log_event::request_abandoned, "request_abandoned", log_level::info, "A caller left before its answer." },
         { log_event::request_lost, "request_lost", log_level::warning,
             "A backend server got a request, and its answer was lost or late at the gate." },
+        { log_event::request_refused_for_calls, "request_refused_for_calls", log_level::warning,
+            "A gate refused a request before it ran, since its nested calls would find no capacity." },
+        { log_event::execution_lost_call, "execution_lost_call", log_level::warning,
+            "An execution ended badly after one of its nested calls was refused; its work was thrown away." },
     };
 
     const log_event_definition& definitionOf(log_event event)
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -57,6 +57,8 @@
     request_failed = 1912,
     request_abandoned = 1913,
     request_lost = 1914,
+    request_refused_for_calls = 1915,
+    execution_lost_call = 1916,
     range_map_changed = 1451,
     range_map_write_failed = 1452,
     holds_renewed = 1453,
