--- a/src/mesh/tests/forward_protocol_test.cpp
+++ b/src/mesh/tests/forward_protocol_test.cpp
@@ -96,6 +96,42 @@
         }
     }
 
+    // Guards against a lost or forged urgency: a caller must not set it, and a malformed one must not decide.
+    TEST(ForwardProtocol, OuterRequestIsCheckedAndBounded)
+    {
+        auto sent = makeRequest();
+        EXPECT_FALSE(decodeForward(encodeForward(sent, now), now).value().outer);
+        sent.message.headers.add("heatherdrift-outer", "0,1");
+        EXPECT_FALSE(decodeForward(encodeForward(sent, now), now).value().outer);
+        sent.outer = outer_request { 3, 2 };
+        auto message = encodeForward(sent, now);
+        EXPECT_EQ(decodeForward(message, now).value().outer, sent.outer);
+        EXPECT_FALSE(decodeForward(message, now).value().message.headers.find("heatherdrift-outer"));
+        message.headers.set("heatherdrift-outer", "0,1000000");
+        EXPECT_EQ(decodeForward(message, now).value().outer, (outer_request { 0, maxCallDepth }));
+        for (const char* text : { "", "1", "1,0", "-1,1", "1,-1", "x,1", "1,1,1", "99999999999,1", "1,1 " }) {
+            message.headers.set("heatherdrift-outer", text);
+            EXPECT_FALSE(decodeForward(message, now).value().outer) << text;
+        }
+    }
+
+    // Guards against a refusal that is repeated at each gate of a service, and against heights that grow without end.
+    TEST(ForwardProtocol, RefusalsForCallsAndHeightsAreTold)
+    {
+        gate_answer refused;
+        EXPECT_FALSE(decodeAnswer(encodeAnswer(refused)).value().isFinal);
+        EXPECT_FALSE(decodeAnswer(encodeAnswer(refused)).value().nestedHeight);
+        refused.isFinal = true;
+        refused.nestedHeight = 2;
+        auto message = encodeAnswer(refused);
+        EXPECT_TRUE(decodeAnswer(message).value().isFinal);
+        EXPECT_EQ(decodeAnswer(message).value().nestedHeight, 2);
+        message.head.headers.set("heatherdrift-nested-height", "999999999999");
+        EXPECT_EQ(decodeAnswer(message).value().nestedHeight, maxCallHeight);
+        message.head.headers.set("heatherdrift-nested-height", "-1");
+        EXPECT_FALSE(decodeAnswer(message).value().nestedHeight);
+    }
+
     // Guards against an answer that may have run and counts as one that did not reach the backend server, and so not
     // towards the maximum number of attempts.
     TEST(ForwardProtocol, AnswerThatMayHaveRunReachedTheBackendServer)
--- a/src/mesh/tests/request_path_test.cpp
+++ b/src/mesh/tests/request_path_test.cpp
@@ -340,5 +340,60 @@
         loop.runUntil([&] { return answered == 4; });
     }
 
+    // Guards against nested calls that are not attributed to the running request, and against requests of callers on
+    // the same instance that are: both come from the own host.
+    TEST_F(RequestPathTest, NestedCallsOfTheBackendServerAreLearned)
+    {
+        settings.scheduling.ranksByCaller = true;
+        SetUp();
+        route_configuration configuration;
+        configuration.version = 1;
+        for (const char* name : { "outer", "inner", "plain" })
+            configuration.routes.push_back(
+                { name, name, "/", false, { { "s", 1 } }, 1, seconds(60), milliseconds(500), 1 });
+        configuration.services.push_back({ "s", 10, false });
+        routes.apply(configuration);
+        const auto send = [&](const std::string& route, const std::function<void(result<http_response>)>& onAnswer) {
+            http_request request { "POST", "/a", { { "Host", route }, { "id", "r1" }, { "timeout-ms", "60000" } }, "" };
+            const auto client = std::make_shared<std::unique_ptr<http_client>>(
+                http_client::create(loop.base(), server->address(), 1));
+            heatherdrift::fetch(**client, std::move(request), test_loop::farDeadline(), 1000,
+                [client, onAnswer](result<http_response> answer) { onAnswer(std::move(answer)); });
+        };
+        // Callers use the routes from the instances of several services.
+        for (int i = 0; i < 160; ++i) {
+            routed_request request;
+            request.message = { "POST", "/a", { { "id", "r1" } }, "" };
+            request.id = "r1";
+            request.route = i % 2 == 0 ? "outer" : "plain";
+            request.service = "s";
+            request.callerService = i % 4 < 2 ? "s" : "t";
+            request.deadline = request.objective = test_loop::farDeadline();
+            bool isDone = false;
+            gate->execute(request, [&](const gate_answer&) { isDone = true; });
+            loop.runUntil([&] { return isDone; });
+        }
+        // While the backend server runs one request, it makes a call, and a caller sends another request.
+        for (int i = 0; i < 60; ++i) {
+            int done = 0;
+            http_exchange_ptr outer;
+            onRequest = [&](http_exchange_ptr exchange) { outer = std::move(exchange); };
+            send("outer", [&](const result<http_response>&) { ++done; });
+            loop.runUntil([&] { return outer != nullptr; });
+            onRequest = [](http_exchange_ptr exchange) { exchange->respond(signedAnswer(200, "")); };
+            send("inner", [&](const result<http_response>&) { ++done; });
+            loop.runUntil([&] { return done == 1; });
+            send("plain", [&](const result<http_response>&) { ++done; });
+            loop.runUntil([&] { return done == 2; });
+            outer->respond(signedAnswer(200, ""));
+            loop.runUntil([&] { return done == 3; });
+        }
+        const auto calls = gate->nestedCalls().graph().callsOf("outer", 1, boot_clock::now());
+        ASSERT_EQ(calls.size(), 1u);
+        EXPECT_EQ(calls[0].route, "inner");
+        EXPECT_EQ(gate->nestedCalls().graph().height("outer"), 1);
+        EXPECT_EQ(gate->nestedCalls().graph().height("inner"), 0);
+    }
+
 } // namespace
 } // namespace heatherdrift
