--- a/src/mesh/internal/mesh_metrics.h
+++ b/src/mesh/internal/mesh_metrics.h
@@ -22,6 +22,9 @@
     void evacuationsChanged(std::size_t zones, bool isOwnEvacuated);
     /// How late the event loop ran a timer.
     void loopLag(duration);
+    /// Totals since the start: executions refused because of their calls, and those that ended badly after a refused
+    /// call.
+    void nestedCalls(std::uint64_t refused, std::uint64_t lost);
     void gateLoad(double load, double demand, std::size_t waiting);
 
     std::string text() const { return m_registry.text(); }
@@ -38,6 +41,8 @@
     prometheus::Gauge& m_load;
     prometheus::Gauge& m_demand;
     prometheus::Gauge& m_waiting;
+    prometheus::Counter& m_refusedForCalls;
+    prometheus::Counter& m_lostCalls;
 };
 
 /// Records metrics of the calls to a store.
