Choose among uneven servers by the expected time of completion

Entry nodes chose by their own calls of the last seconds and by the share of used slots, so that they sent requests to servers in a slow period and could not tell slow machines from fast ones. load_view now compares three random servers by expected wait at the request's urgency, service time, current slowdown and its own calls since the report, while statuses of servers are known; without them the picks are the same as before. Cold servers count the time until their next start, and servers that start too late are not picked if there is another. earliestStart() tells when all known servers are unable to start a request in time.

The gate compares the slowdown that its backend server states with the service times that it observes, and ignores it while it predicts them worse than no statement would (E1809, E1810). The statement is relative to its mean, since the service time contains a permanent slowdown.

--- a/src/admission/benchmarks/admission_benchmark.cpp
+++ b/src/admission/benchmarks/admission_benchmark.cpp
@@ -13,7 +13,11 @@
         { "blocking", compareClassBlocking },
         { "customers", compareWorkspaces },
         { "retries", compareRetries },
-        { "servers", compareServerChoice },
+        { "servers",
+            [] {
+                compareServerChoice();
+                compareUnevenServers();
+            } },
         { "swing", compareDemandSwing },
     };
     std::printf("seeds:");
--- a/src/admission/benchmarks/scenarios.h
+++ b/src/admission/benchmarks/scenarios.h
@@ -17,5 +17,7 @@
 void compareRetries();
 /// Latency and failures when calls can choose among servers.
 void compareServerChoice();
+/// The same for servers of different and changing speed, with statuses that entry nodes get late.
+void compareUnevenServers();
 
 } // namespace heatherdrift::simulation
--- a/src/admission/internal/load_view.cpp
+++ b/src/admission/internal/load_view.cpp
@@ -21,6 +21,12 @@
     // slightly lowest latency.
     constexpr double equalCosts = 1.1;
     constexpr int maxDraws = 16;
+    // Each unanswered call of this node adds this share to the expected completion: the answers of a server that has
+    // become slow since its report are late (p99 with 66 entry nodes: 383 against 396 ms).
+    constexpr double unansweredShare = 0.5;
+    constexpr duration poolWaitTimeConstant = std::chrono::seconds(1);
+    // The status of a cold server counts as this much younger when nodes choose statuses to pass on.
+    constexpr int coldAgeDivisor = 2;
 
     double failurePenalty(double share) { return 1 / (1 - std::min(share, maxFailureShare)); }
 
@@ -36,6 +42,8 @@
     , m_settings(settings)
     , m_outliers(settings.outliers)
     , m_poolLatency(settings.observationTimeConstant)
+    , m_poolService(settings.observationTimeConstant)
+    , m_poolWaits(urgencyLevels, decaying_average(poolWaitTimeConstant))
 {
 }
 
@@ -78,6 +86,8 @@
 {
     if (auto probe = dueProbe(options, now))
         return probe;
+    if (usesStatuses(now))
+        return pickByCompletion(options, now);
     // The first candidate is from the local zone if possible; the second one, from any zone, prevents overload of the
     // local zone.
     auto first = draw(m_sameZone, options, std::nullopt, now);
@@ -100,6 +110,7 @@
     if (found == m_positions.end())
         return;
     ++m_servers[found->second].inFlight;
+    m_servers[found->second].completion.onCallStarted(now);
     if (m_outliers.condition(id, now) == server_condition::probing)
         m_outliers.startProbe(id, now);
 }
@@ -148,8 +159,12 @@
 {
     // Without recent calls a server's latency returns to that of the pool, so that it is tried again.
     const double latency = one.latency.value(m_poolLatency.value(priorLatency, now), now);
-    return latency * (one.inFlight + 1) * failurePenalty(one.failures.value(0, now))
-        * (1 + refusalPenalty * one.refusals.value(0, now)) * (1 + reportedLoad(one, now));
+    return latency * (one.inFlight + 1) * penalties(one, now) * (1 + reportedLoad(one, now));
+}
+
+double load_view::penalties(const server& one, time_point now) const
+{
+    return failurePenalty(one.failures.value(0, now)) * (1 + refusalPenalty * one.refusals.value(0, now));
 }
 
 bool load_view::isEligible(const server& one, const pick_options& options, time_point now) const
@@ -184,6 +199,130 @@
     return isFast ? 0 : load;
 }
 
+bool load_view::reportStatus(const instance_id& id, const status_report& report, duration minGain)
+{
+    const auto found = m_positions.find(id);
+    if (found == m_positions.end() || !m_servers[found->second].completion.record(report, minGain))
+        return false;
+    m_poolService.add(inSeconds(report.status.serviceTime), report.at);
+    for (std::size_t level = 0; level < urgencyLevels; ++level)
+        m_poolWaits[level].add(inSeconds(report.status.expectedWaits[level]), report.at);
+    m_statusesUntil = std::max(m_statusesUntil, m_servers[found->second].completion.currentUntil());
+    return true;
+}
+
+void load_view::clearStatus(const instance_id& id)
+{
+    const auto found = m_positions.find(id);
+    if (found == m_positions.end() || !m_servers[found->second].completion.last())
+        return;
+    m_servers[found->second].completion.clear();
+    m_statusesUntil = time_point::min();
+    for (const auto& one : m_servers)
+        m_statusesUntil = std::max(m_statusesUntil, one.completion.currentUntil());
+}
+
+// A server without a status counts as usual, so that it is tried.
+double load_view::completionCost(const server& one, std::size_t urgency, time_point now) const
+{
+    const auto usualWait = fromSeconds(m_poolWaits[urgency].value(0, now));
+    const auto expected = one.completion.completion(urgency, now, usualWait);
+    const double usual = m_poolService.value(m_poolLatency.value(priorLatency, now), now);
+    return (expected ? inSeconds(*expected) : one.latency.value(usual, now)) * (1 + unansweredShare * one.inFlight)
+        * penalties(one, now);
+}
+
+// Compares a few random candidates for the same reason as pick(): other nodes know the same statuses.
+std::optional<instance_id> load_view::pickByCompletion(const pick_options& options, time_point now)
+{
+    std::optional<position> best;
+    double lowest = 0;
+    for (int count = 0; count < m_settings.candidates; ++count) {
+        // The first one is from the local zone if possible.
+        auto drawn = count == 0 ? draw(m_sameZone, options, std::nullopt, now) : std::nullopt;
+        if (!drawn)
+            drawn = draw(m_all, options, best, now);
+        if (!drawn)
+            break;
+        const auto& candidate = m_servers[*drawn];
+        const bool isLocal = candidate.zone == m_settings.zone;
+        const double cost
+            = completionCost(candidate, options.urgency, now) / (isLocal ? m_settings.zoneTolerance : 1.0);
+        if (best && cost >= lowest)
+            continue;
+        best = drawn;
+        lowest = cost;
+    }
+    if (!best)
+        return fallbackServer(options, now);
+    if (!isInTime(m_servers[*best], options, now)) {
+        if (const auto inTime = drawInTime(options, now))
+            best = inTime;
+    }
+    return m_servers[*best].id;
+}
+
+bool load_view::isInTime(const server& one, const pick_options& options, time_point now) const
+{
+    if (options.answerBy == time_point::max())
+        return true;
+    const auto service = one.completion.serviceTime(now).value_or(duration::zero());
+    // Service times vary; the gate refuses a request only if it cannot expect half of one.
+    return now + one.completion.wait(options.urgency, now) + service / 2 <= options.answerBy;
+}
+
+// A random one of the servers that can start the request in time, since all nodes would pick the same best one.
+std::optional<load_view::position> load_view::drawInTime(const pick_options& options, time_point now)
+{
+    std::vector<position> usable;
+    for (const auto index : m_all) {
+        if (isEligible(m_servers[index], options, now) && isInTime(m_servers[index], options, now))
+            usable.push_back(index);
+    }
+    return draw(usable, options, std::nullopt, now);
+}
+
+std::optional<duration> load_view::earliestStart(std::size_t urgency, duration within, time_point now) const
+{
+    std::optional<duration> earliest;
+    for (const auto& one : m_servers) {
+        if (!isEligible(one, {}, now))
+            continue;
+        const bool isKnown = one.completion.isCurrent(now) || one.completion.isCold(now);
+        const auto wait = one.completion.wait(urgency, now);
+        if (!isKnown || wait <= within)
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(wait), wait);
+    }
+    return earliest;
+}
+
+std::vector<named_status> load_view::statuses(std::size_t count, const instance_id& except, time_point now) const
+{
+    std::vector<std::pair<duration, position>> byAge;
+    for (const auto index : m_all) {
+        const auto& one = m_servers[index];
+        if (!one.completion.isCurrent(now) || one.id == except || isReportedUnhealthy(one, now))
+            continue;
+        const auto age = now - one.completion.last()->at;
+        byAge.emplace_back(one.completion.isCold(now) ? age / coldAgeDivisor : age, index);
+    }
+    const auto kept = std::min(count, byAge.size());
+    std::ranges::partial_sort(byAge, byAge.begin() + static_cast<std::ptrdiff_t>(kept));
+    std::vector<named_status> out;
+    for (std::size_t place = 0; place < kept; ++place) {
+        const auto& one = m_servers[byAge[place].second];
+        out.push_back({ one.id, *one.completion.last() });
+    }
+    return out;
+}
+
+std::size_t load_view::knownStatuses(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_servers, [&](const server& one) { return one.completion.isCurrent(now); }));
+}
+
 // Random choice, weighted by the slow start share, so that a cold server is drawn less often. If no draw hits an
 // eligible server, all servers are scanned from a random position.
 std::optional<load_view::position> load_view::draw(
--- a/src/admission/load_view.h
+++ b/src/admission/load_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/completion_estimate.h"
 #include "admission/outlier_detector.h"
 #include "admission/random_function.h"
 #include "admission/slow_start.h"
@@ -37,6 +38,9 @@
 /// Settings of load_view; see docs/admission.md.
 struct load_view_settings {
     std::string zone; ///< Availability zone of this node.
+    /// Servers whose expected completion is compared for a call. With more than three, the fast servers get too many of
+    /// the calls that are sent between two reports: see docs/design/server-choice.md.
+    int candidates = 3;
     double zoneTolerance = 1.5; ///< Cost factor up to which a server in the local zone is preferred.
     duration observationTimeConstant = std::chrono::seconds(5); ///< Time constant of the decay of local observations.
     duration maxReportAge = std::chrono::seconds(3); ///< Older reports are ignored.
@@ -50,9 +54,21 @@
 struct pick_options {
     std::vector<instance_id> excluded {}; ///< For example servers that refused this request already.
     bool mayProbe = false; ///< Whether the call can be retried and may therefore probe an ejected server.
+    std::size_t urgency = 0; ///< Urgency level of the request; see urgencyLevel().
+    time_point answerBy = time_point::max(); ///< A later answer is useless.
 };
 
-/// Picks a backend server of a pool for calls that need no key ownership.
+/// A status and the server that it is of.
+struct named_status {
+    instance_id id;
+    status_report report;
+
+    bool operator==(const named_status&) const = default;
+};
+
+/// Picks a backend server of a pool for calls that need no key ownership. While statuses of servers are known, it picks
+/// by the expected time of completion; designed for 66 entry nodes with 10 to 20 calls per second each and for servers
+/// whose speed differs and changes several times per second.
 class load_view {
 public:
     explicit load_view(random_function, const load_view_settings& = {});
@@ -61,6 +77,11 @@
     void add(const instance_id&, const std::string& zone, bool isCold, time_point now);
     void remove(const instance_id&);
     void report(const instance_id&, const server_report&);
+    /// Records the status of a server, unless it is not newer than the known one by more than minGain. Returns whether
+    /// it was recorded.
+    bool reportStatus(const instance_id&, const status_report&, duration minGain = {});
+    /// The gate of the server states no status any more.
+    void clearStatus(const instance_id&);
 
     /// Returns nullopt if every server is excluded or out of service. Takes O(1) on average unless most servers are out
     /// of service.
@@ -72,6 +93,14 @@
     /// Expected latency of one more call, in seconds, with penalties for failures, refusals and reported load. Of two
     /// candidates, the one with the lower cost is picked.
     double cost(const instance_id&, time_point now) const;
+    /// The time after which the first server is expected to start a request of this urgency level, if no server of the
+    /// pool is expected to do so within the given time. Empty otherwise, and if the state of any server is not known:
+    /// then the request should be sent.
+    std::optional<duration> earliestStart(std::size_t urgency, duration within, time_point now) const;
+    /// The statuses that are the most useful ones for another node, the best first: the freshest ones, and those of
+    /// cold servers, which hold for longer.
+    std::vector<named_status> statuses(std::size_t count, const instance_id& except, time_point now) const;
+    std::size_t knownStatuses(time_point now) const;
     server_condition condition(const instance_id& id, time_point now) const { return m_outliers.condition(id, now); }
 
 private:
@@ -84,11 +113,19 @@
         decaying_average failures;
         decaying_average refusals;
         std::optional<server_report> lastReport;
+        completion_estimate completion {};
     };
     using position = std::size_t;
 
     const server* find(const instance_id&) const;
     double costOf(const server&, time_point now) const;
+    /// Expected seconds until the answer, with penalties for failures and refusals.
+    double completionCost(const server&, std::size_t urgency, time_point now) const;
+    double penalties(const server&, time_point now) const;
+    bool usesStatuses(time_point now) const { return now <= m_statusesUntil; }
+    std::optional<instance_id> pickByCompletion(const pick_options&, time_point now);
+    bool isInTime(const server&, const pick_options&, time_point now) const;
+    std::optional<position> drawInTime(const pick_options&, time_point now);
     bool isEligible(const server&, const pick_options&, time_point now) const;
     bool isReportedUnhealthy(const server&, time_point now) const;
     double reportedLoad(const server&, time_point now) const;
@@ -108,6 +145,10 @@
     std::vector<position> m_sameZone;
     decaying_average m_poolLatency;
     std::size_t m_unhealthyReports = 0;
+    /// Of the reported statuses, in seconds; the waits by urgency level.
+    decaying_average m_poolService;
+    std::vector<decaying_average> m_poolWaits;
+    time_point m_statusesUntil = time_point::min(); ///< The last one is too old afterwards.
 };
 
 } // namespace heatherdrift
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -129,12 +129,24 @@
         return std::nullopt;
     server_status status;
     for (std::size_t level = 0; level < urgencyLevels; ++level)
-        status.expectedWaits[level] = m_queue.expectedWait(static_cast<int>(level));
-    status.serviceTime = m_queue.meanServiceTime();
-    status.slowdown = m_statedLoad.slowdown(now);
+        status.expectedWaits[level]
+            = m_queue.expectedWait(static_cast<int>(level)) + m_statedLoad.wait(m_queue.running());
+    const auto recent = m_queue.meanServiceTime();
+    status.serviceTime = m_statedLoad.usualServiceTime().value_or(recent);
+    status.slowdown = m_statedLoad.slowdown(recent, now);
     return status;
 }
 
+void gate_service::recordServiceTime(const gate_request& entry, time_point now)
+{
+    const bool wasPlausible = m_statedLoad.isPlausible();
+    m_statedLoad.observe(entry.request.route, entry.startedAt, now);
+    if (m_statedLoad.isPlausible() != wasPlausible)
+        logEvent(wasPlausible ? log_event::server_load_implausible : log_event::server_load_plausible,
+            { { "backend_server", m_backend.id }, { "service_ms", millisecondsText(now - entry.startedAt) },
+                { "stated_slowdown", std::to_string(m_statedLoad.last()->slowdown) } });
+}
+
 void gate_service::recordLoad(const backend_answer& info, time_point now)
 {
     if (info.load)
@@ -270,6 +282,8 @@
     auto classified = classify(std::move(response));
     recordOutcome(fingerprint, classified, now);
     const bool isUsual = classified.outcome == verdict::ran && isSuccess(classified.response.head.status);
+    if (isUsual)
+        recordServiceTime(found->second, now);
     m_queue.finish(id, isUsual ? std::optional(now - found->second.startedAt) : std::nullopt);
     classified.load = load();
     if (classified.outcome == verdict::may_have_run) {
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -102,6 +102,7 @@
     void recordOutcome(request_fingerprint, const gate_answer&, time_point now);
     void recordEndOfLife();
     void recordLoad(const backend_answer&, time_point now);
+    void recordServiceTime(const gate_request&, time_point now);
     std::optional<server_status> status(time_point now) const;
     /// Time by which the response would miss its latency objective because of the instance's link; zero if it would
     /// not.
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -48,6 +48,8 @@
     backend_recovered = 1803,
     backend_crashed = 1807,
     server_load_rejected = 1808,
+    server_load_implausible = 1809,
+    server_load_plausible = 1810,
     request_quarantined = 1901,
     foreign_answer_dropped = 1902,
     suspect_refused = 1903,
