Pass statuses of backend servers on between nodes

An entry node with 10 to 20 requests per second has called a given server of 16 about 0.7 s ago on average, longer than a slow period lasts. With an answer to a request without a key, a node now passes on the freshest statuses of up to five other servers of the service with their ages (heatherdrift-others, at most 97 bytes, at most 40 messages per second and node). Receivers find the server by a hash of its life, so that a status never applies to another life, and ignore statuses that are not newer than what they know. Metrics: heatherdrift_statuses_exchanged_total, heatherdrift_known_statuses.

--- a/src/mesh/forward_protocol.h
+++ b/src/mesh/forward_protocol.h
@@ -5,6 +5,7 @@
 #include "base/failure.h"
 #include "base/store_types.h"
 #include "http/http_message.h"
+#include "mesh/passed_status.h"
 #include "ranges/range_map.h"
 
 #include <cstdint>
@@ -67,6 +68,7 @@
     /// From the moment at which the gate read the request to its answer; known if the backend server has not answered.
     duration timeAtGate {};
     gate_load load;
+    std::vector<passed_status> others {}; ///< Of other backend servers of the service, for the choice among them.
 };
 
 /// Header of requests between nodes with the intended node, since its address may since belong to another node.
--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -81,7 +81,9 @@
 
 std::optional<instance_id> entry_call::pickAny(time_point now)
 {
-    return m_context.directory.view(m_request.service).pick({ m_tried, m_request.isIdempotent }, now);
+    const pick_options options { m_tried, m_request.isIdempotent, urgencyLevel(m_request.priority),
+        m_request.deadline };
+    return m_context.directory.view(m_request.service).pick(options, now);
 }
 
 void entry_call::sendNext()
@@ -166,6 +168,9 @@
         && !m_context.port.decodeAnswer(head).isFromBackend)
         return handleLost(error_code::internal);
     m_context.directory.recordAnswer(m_attempt->node, answer.value().load, now);
+    const auto learned = m_context.directory.statuses().learn(m_request.service, answer.value().others, now);
+    if (m_context.metrics && learned > 0)
+        m_context.metrics->statusesExchanged("learned", learned);
     m_context.onMapVersion(m_request.service, m_attempt->node, answer.value().load.mapVersion);
     if (const auto& tables = answer.value().load.tables)
         m_context.onTableStatements(m_attempt->node, *tables, m_attempt->startedAt);
--- a/src/mesh/internal/forward_protocol.cpp
+++ b/src/mesh/internal/forward_protocol.cpp
@@ -1,5 +1,7 @@
 #include "mesh/forward_protocol.h"
 
+#include "mesh/internal/status_codec.h"
+
 #include <algorithm>
 #include <charconv>
 #include <climits>
@@ -34,6 +36,8 @@
     constexpr const char* zoneHeader = "heatherdrift-zone";
     /// Waits by urgency, service time, slowdown, and of a cold backend server its three figures; separated by commas.
     constexpr const char* statusHeader = "heatherdrift-status";
+    constexpr const char* othersHeader
+        = "heatherdrift-others"; ///< Statuses of other backend servers; see status_codec.
     constexpr const char* tablesHeader = "heatherdrift-tables"; ///< Four numbers, separated by commas.
     constexpr double permille = 1000;
     constexpr int statusRefused = 503;
@@ -256,6 +260,8 @@
         headers.add(tablesHeader, encodeTables(*answer.load.tables));
     if (answer.load.status)
         headers.add(statusHeader, encodeStatus(*answer.load.status));
+    if (!answer.others.empty())
+        headers.add(othersHeader, encodeStatuses(answer.others));
     return out;
 }
 
@@ -293,6 +299,7 @@
     answer.load.isDraining = !reader.text(drainingHeader).empty();
     answer.load.tables = decodeTables(reader.text(tablesHeader));
     answer.load.status = decodeStatus(reader.text(statusHeader));
+    answer.others = decodeStatuses(reader.text(othersHeader));
     return answer;
 }
 
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -49,6 +49,7 @@
 mesh_directory::mesh_directory(event_base* base, const mesh_settings& settings)
     : m_base(base)
     , m_settings(settings)
+    , m_statuses(*this, settings.node)
 {
 }
 
@@ -196,8 +197,22 @@
         return;
     peer.load = *load;
     peer.loadAt = now;
-    if (acceptsWork(peer.member))
-        view(peer.member.service).report(node, { !load->isDraining, std::min(1.0, load->load), now });
+    if (!acceptsWork(peer.member))
+        return;
+    auto& servers = view(peer.member.service);
+    servers.report(node, { !load->isDraining, std::min(1.0, load->load), now });
+    if (load->status)
+        servers.reportStatus(node, { *load->status, now });
+    else if (load->life == peer.member.life) // An answer without the node's state, as for want of memory, says nothing.
+        servers.clearStatus(node);
+}
+
+std::map<std::string, std::size_t> mesh_directory::knownStatuses(time_point now) const
+{
+    std::map<std::string, std::size_t> out;
+    for (const auto& [service, servers] : m_views)
+        out[service] = servers->knownStatuses(now);
+    return out;
 }
 
 void mesh_directory::recordFailure(const instance_id& node, error_code reason, time_point now)
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -4,6 +4,7 @@
 #include "base/store_types.h"
 #include "http/http_client.h"
 #include "mesh/forward_protocol.h"
+#include "mesh/internal/status_exchange.h"
 #include "mesh/member.h"
 #include "settings/mesh_settings.h"
 
@@ -54,6 +55,10 @@
     /// Load balancer for the backend servers of a service that is not partitioned.
     load_view& view(const std::string& service);
 
+    status_exchange& statuses() { return m_statuses; }
+    /// Number of backend servers of each service without keys whose status is known and recent.
+    std::map<std::string, std::size_t> knownStatuses(time_point now) const;
+
     void recordAnswer(const instance_id&, const std::optional<gate_load>&, time_point now);
     void recordFailure(const instance_id&, error_code, time_point now);
 
@@ -67,6 +72,7 @@
     /// Clients of removed nodes and former addresses, until their calls end.
     std::vector<std::unique_ptr<http_client>> m_retired;
     std::map<std::string, std::unique_ptr<load_view>> m_views;
+    status_exchange m_statuses;
 };
 
 } // namespace heatherdrift
--- a/src/mesh/internal/mesh_metrics.cpp
+++ b/src/mesh/internal/mesh_metrics.cpp
@@ -74,6 +74,22 @@
         .Observe(seconds(lag));
 }
 
+void mesh_metrics::statusesExchanged(std::string_view direction, std::size_t count)
+{
+    m_registry
+        .counter("heatherdrift_statuses_exchanged_total", "Statuses of backend servers passed on between nodes.",
+            { { "direction", std::string(direction) } })
+        .Increment(static_cast<double>(count));
+}
+
+void mesh_metrics::statusesKnown(const std::string& service, std::size_t count)
+{
+    m_registry
+        .gauge(
+            "heatherdrift_known_statuses", "Backend servers whose recent status is known.", { { "service", service } })
+        .Set(static_cast<double>(count));
+}
+
 void mesh_metrics::gateLoad(double load, double demand, std::size_t inProgress)
 {
     m_load.Set(load);
--- a/src/mesh/internal/mesh_metrics.h
+++ b/src/mesh/internal/mesh_metrics.h
@@ -21,6 +21,9 @@
     void configurationApplied(std::uint64_t version);
     /// How late the event loop ran a timer.
     void loopLag(duration);
+    /// Statuses of backend servers that were passed on to other nodes, or learned from them.
+    void statusesExchanged(std::string_view direction, std::size_t count);
+    void statusesKnown(const std::string& service, std::size_t count);
     void gateLoad(double load, double demand, std::size_t waiting);
 
     std::string text() const { return m_registry.text(); }
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -358,6 +358,8 @@
                 return exchange->respond({ { statusNotFound, {} }, "" });
             const auto load = m_gate.load();
             m_metrics.gateLoad(load.load, load.demand, m_gate.inProgress());
+            for (const auto& [service, count] : m_directory.knownStatuses(boot_clock::now()))
+                m_metrics.statusesKnown(service, count);
             exchange->respond({ { 200, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_metrics.text() });
         }
 
@@ -413,13 +415,16 @@
             const std::string route = request.route;
             const auto deliveryTime = m_sender.deliveryTime(route);
             const auto answerNumber = m_sender.expect(route);
+            const bool isChoosable = !request.key;
             const auto id = m_gate.execute(
                 std::move(request),
-                [this, exchange, isDone, route, answerNumber](gate_answer answer) {
+                [this, exchange, isDone, route, answerNumber, isChoosable](gate_answer answer) {
                     *isDone = true;
                     m_metrics.gateEnded(answer.outcome, answer.outcome == verdict::ran ? "" : toString(answer.reason));
                     if (answer.outcome == verdict::ran)
                         m_sender.recordSize(route, answer.response.body.size());
+                    if (isChoosable)
+                        passStatuses(answer);
                     m_sender.send(answerNumber, exchange, encodeAnswer(std::move(answer)));
                 },
                 deliveryTime, [exchange] { return exchange->hasClientLeft(); });
@@ -430,6 +435,15 @@
             });
         }
 
+        void passStatuses(gate_answer& answer)
+        {
+            if (!answer.load.status)
+                return;
+            answer.others = m_directory.statuses().take(m_settings.service, *answer.load.status, boot_clock::now());
+            if (!answer.others.empty())
+                m_metrics.statusesExchanged("passed", answer.others.size());
+        }
+
         http_response encodePing() const
         {
             gate_answer answer;
