--- a/src/admission/internal/completion_estimate.cpp
+++ b/src/admission/internal/completion_estimate.cpp
@@ -89,7 +89,7 @@
 }
 
 // A call sent since the report counts as one whole service time, and not as its share of a slot: other nodes with the
-// same report have sent calls, too (p99 with 66 entry nodes: 396 against 415 ms).
+// same report have sent calls, too (p99 with 66 entry nodes: 395 against 412 ms).
 duration completion_estimate::completion(
     std::size_t level, time_point now, duration usualWait, duration usualService) const
 {
--- a/src/admission/internal/load_view.cpp
+++ b/src/admission/internal/load_view.cpp
@@ -22,7 +22,7 @@
     constexpr double equalCosts = 1.1;
     constexpr int maxDraws = 16;
     // Each unanswered call of this node adds this share to the expected completion: the answers of a server that has
-    // become slow since its report are late (p99 with 66 entry nodes: 383 against 396 ms).
+    // become slow since its report are late (p99 with 66 entry nodes: 395 against 405 ms).
     constexpr double unansweredShare = 0.5;
     // Expected service time of a server that has not stated any yet, relative to the mean of the others. With 1, a
     // server is not tried while the others are slightly faster than their mean of the last seconds.
