--- a/src/mesh/internal/forward_handler.cpp
+++ b/src/mesh/internal/forward_handler.cpp
@@ -10,10 +10,8 @@
 
 } // namespace
 
-forward_handler::forward_handler(gate_service& gate, answer_sender& sender, mesh_metrics& metrics)
-    : m_gate(gate)
-    , m_sender(sender)
-    , m_metrics(metrics)
+forward_handler::forward_handler(const forward_context& context)
+    : m_context(context)
 {
 }
 
@@ -34,22 +32,26 @@
 {
     const auto isDone = std::make_shared<bool>(false);
     const std::string route = request.route;
-    const auto deliveryTime = m_sender.deliveryTime(route);
-    const auto answerNumber = m_sender.expect(route);
-    const auto id = m_gate.execute(
+    const auto deliveryTime = m_context.sender.deliveryTime(route);
+    const auto answerNumber = m_context.sender.expect(route);
+    const bool isChoosable = !request.key;
+    const auto id = m_context.gate.execute(
         std::move(request),
-        [this, exchange, isDone, route, answerNumber](gate_answer answer) {
+        [this, exchange, isDone, route, answerNumber, isChoosable](gate_answer answer) {
             *isDone = true;
-            m_metrics.gateEnded(answer.outcome, answer.outcome == verdict::ran ? "" : toString(answer.reason));
+            m_context.metrics.gateEnded(answer.outcome, answer.outcome == verdict::ran ? "" : toString(answer.reason));
             if (answer.outcome == verdict::ran)
-                m_sender.recordSize(route, answer.response.body.size());
-            m_sender.send(answerNumber, exchange, encodeAnswer(std::move(answer)));
+                m_context.sender.recordSize(route, answer.response.body.size());
+            if (isChoosable)
+                m_context.metrics.statusesExchanged("passed",
+                    m_context.directory.statuses().addTo(answer, m_context.settings.service, boot_clock::now()));
+            m_context.sender.send(answerNumber, exchange, encodeAnswer(std::move(answer)));
         },
         deliveryTime, [exchange] { return exchange->hasClientLeft(); });
     exchange->onClosed([this, id, isDone, answerNumber] {
         if (!*isDone)
-            m_gate.cancel(id);
-        m_sender.drop(answerNumber);
+            m_context.gate.cancel(id);
+        m_context.sender.drop(answerNumber);
     });
 }
 
@@ -57,7 +59,7 @@
 {
     gate_answer answer;
     answer.outcome = verdict::ran;
-    answer.load = m_gate.load();
+    answer.load = m_context.gate.load();
     return encodeAnswer(answer);
 }
 
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -5,6 +5,7 @@
 #include "gate/call_capacity.h"
 #include "http/http_client.h"
 #include "mesh/forward_protocol.h"
+#include "mesh/internal/status_exchange.h"
 #include "mesh/member.h"
 #include "routes/evacuation_list.h"
 #include "settings/mesh_settings.h"
@@ -69,6 +70,10 @@
     /// Load balancer for the backend servers of a service that is not partitioned.
     load_view& view(const std::string& service);
 
+    status_exchange& statuses() { return m_statuses; }
+    /// Number of backend servers of each service without keys whose status is known and recent.
+    std::map<std::string, std::size_t> knownStatuses(time_point now) const;
+
     void recordAnswer(const instance_id&, const std::optional<gate_load>&, time_point now);
     void recordFailure(const instance_id&, error_code, time_point now);
 
@@ -87,6 +92,7 @@
     std::map<std::string, zone_evacuation> m_evacuated; ///< By zone.
     /// Services whose backend servers are all in evacuated zones; empty until it is needed after a change.
     mutable std::optional<std::set<std::string>> m_whollyEvacuated;
+    status_exchange m_statuses;
 };
 
 } // namespace heatherdrift
--- a/src/mesh/internal/mesh_metrics.h
+++ b/src/mesh/internal/mesh_metrics.h
@@ -25,6 +25,9 @@
     /// Totals since the start: executions refused because of their calls, and those that ended badly after a refused
     /// call.
     void nestedCalls(std::uint64_t refused, std::uint64_t lost);
+    /// Statuses of backend servers that were passed on to other nodes, or learned from them.
+    void statusesExchanged(std::string_view direction, std::size_t count);
+    void statusesKnown(const std::string& service, std::size_t count);
     void gateLoad(double load, double demand, std::size_t waiting);
 
     std::string text() const { return m_registry.text(); }
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -82,7 +82,7 @@
                       [this](const backend_crash& crash) { m_crashExchange.onCrash(crash); },
                       [this](
                           const std::string& service, time_point now) { return m_directory.statuses(service, now); } })
-            , m_forwards(m_gate, m_sender, m_metrics)
+            , m_forwards({ m_settings, m_directory, m_gate, m_sender, m_metrics })
             , m_crashExchange(base, m_settings, m_directory, m_suspects)
             , m_ownership(base, m_settings, *m_store, { rangeTable, m_settings.service },
                   { boot_clock::now, [this] { return candidates(); },
@@ -337,6 +337,8 @@
             m_metrics.gateLoad(load.load, load.demand, m_gate.inProgress());
             const auto& calls = m_gate.nestedCalls();
             m_metrics.nestedCalls(calls.refusedExecutions(), calls.lostExecutions());
+            for (const auto& [service, count] : m_directory.knownStatuses(boot_clock::now()))
+                m_metrics.statusesKnown(service, count);
             exchange->respond({ { 200, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_metrics.text() });
         }
 
