Limit on the requests to a cold backend server; the queue counts its rate

A backend server that was started recently crashes if it gets more than a few requests per second, and crashes again after each restart.

--- a/src/gate/internal/slot_queue.cpp
+++ b/src/gate/internal/slot_queue.cpp
@@ -48,14 +48,21 @@
         m_serviceTimes.clear();
 }
 
+bool slot_queue::canRunNow() const
+{
+    return m_running.size() < static_cast<std::size_t>(m_settings.slots) && startDelay(0) <= duration::zero();
+}
+
 duration slot_queue::expectedWaitBehind(std::size_t ahead) const
 {
     const auto slots = static_cast<std::size_t>(m_settings.slots);
     if (m_running.size() + ahead < slots)
-        return {};
+        return startDelay(ahead);
     // Slots become free at even intervals of a service time divided by the number of slots.
     const auto slotsNeeded = static_cast<double>(m_running.size() + ahead - slots + 1);
-    return std::chrono::duration_cast<duration>(m_meanServiceTime * (slotsNeeded / static_cast<double>(slots)));
+    const auto forSlot
+        = std::chrono::duration_cast<duration>(m_meanServiceTime * (slotsNeeded / static_cast<double>(slots)));
+    return std::max(forSlot, startDelay(ahead));
 }
 
 duration slot_queue::expectedWait() const { return expectedWaitBehind(m_waiting.size()); }
@@ -89,8 +96,63 @@
         std::ranges::count_if(m_waiting, [&](const auto& other) { return precedes(other, request, now); }));
 }
 
+std::size_t slot_queue::rankOf(const queued_request& request, time_point now) const
+{
+    return request.isNested ? 0 : 1 + 2 * urgencyLevel(request.priority) + (isLate(request, now) ? 1U : 0U);
+}
+
+time_point slot_queue::expectedLimitedEnd(
+    const queued_request& request, std::size_t ahead, std::size_t rank, time_point now) const
+{
+    return now + m_overtaking.expectedWait(expectedWaitBehind(ahead), rank) + serviceTime(request.kind);
+}
+
+/// Unlike slots, starts are known to become free at a given rate, so that the share of the more urgent requests decides
+/// which ones are worth queuing. The others would wait until their deadline and then be refused.
+bool slot_queue::isWorthWaitingForStart(const queued_request& request, time_point now) const
+{
+    const auto ahead = countAhead(request, now);
+    const auto needed = serviceTime(request.kind);
+    const auto rank = rankOf(request, now);
+    if (!isLate(request, now)
+        && expectedLimitedEnd(request, ahead, rank, now)
+                + std::chrono::duration_cast<duration>(needed * serviceTimeMargin)
+            <= request.objective)
+        return true;
+    const auto lateRank = request.isNested || isLate(request, now) ? rank : rank + 1;
+    return expectedLimitedEnd(request, ahead, lateRank, now) + needed / 2 <= request.deadline;
+}
+
+bool slot_queue::isUnservable(const queued_request& request, std::size_t ahead, time_point now) const
+{
+    const auto needed = serviceTime(request.kind);
+    if (now + needed / 2 > request.deadline)
+        return true;
+    if (isRateLimited())
+        return expectedLimitedEnd(request, ahead, rankOf(request, now), now) - needed / 2 > request.deadline;
+    return !request.isNested && isLate(request, now)
+        && expectedLateEnd(request, ahead, now) - needed / 2 > request.deadline;
+}
+
+void slot_queue::recordOvertaking(const queued_request& next, time_point now)
+{
+    if (isRateLimited()) {
+        std::bitset<overtaking_shares::ranks> waiting;
+        for (const auto& request : m_waiting)
+            waiting.set(rankOf(request, now));
+        return m_overtaking.record(rankOf(next, now), waiting);
+    }
+    const bool isOvertaking = !isLate(next, now);
+    const bool isLateWaiting = std::ranges::any_of(
+        m_waiting, [&](const auto& request) { return isLate(request, now) && !request.isNested; });
+    if (isLateWaiting)
+        m_overtakingShare += ((isOvertaking ? 1 : 0) - m_overtakingShare) * overtakingSmoothing;
+}
+
 bool slot_queue::isWorthWaiting(const queued_request& request, time_point now) const
 {
+    if (isRateLimited())
+        return isWorthWaitingForStart(request, now);
     const auto needed = serviceTime(request.kind);
     const auto end = now + expectedWaitBehind(countAhead(request, now)) + needed;
     if (end + std::chrono::duration_cast<duration>(needed * serviceTimeMargin) <= request.objective)
@@ -110,7 +172,7 @@
 
 queue_decision slot_queue::submit(const queued_request& request, time_point now)
 {
-    if (m_waiting.empty() && m_running.size() < static_cast<std::size_t>(m_settings.slots)) {
+    if (m_waiting.empty() && canRunNow()) {
         m_running[request.id] = { request.kind, now };
         return queue_decision::run;
     }
@@ -141,10 +203,7 @@
     std::vector<request_number> out;
     std::size_t ahead = 0;
     std::erase_if(m_waiting, [&](const auto& request) {
-        const auto needed = serviceTime(request.kind);
-        const bool isOvertakenTooLong = !request.isNested && isLate(request, now)
-            && expectedLateEnd(request, ahead, now) - needed / 2 > request.deadline;
-        if (!isOvertakenTooLong && now + needed / 2 <= request.deadline) {
+        if (!isUnservable(request, ahead, now)) {
             ++ahead;
             return false;
         }
@@ -156,15 +215,11 @@
 
 std::optional<request_number> slot_queue::takeNext(time_point now)
 {
-    if (m_waiting.empty() || m_running.size() >= static_cast<std::size_t>(m_settings.slots))
+    if (m_waiting.empty() || !canRunNow())
         return std::nullopt;
     const auto next = std::ranges::min_element(
         m_waiting, [&](const auto& left, const auto& right) { return precedes(left, right, now); });
-    const bool isOvertaking = !isLate(*next, now);
-    const bool isLateWaiting = std::ranges::any_of(
-        m_waiting, [&](const auto& request) { return isLate(request, now) && !request.isNested; });
-    if (isLateWaiting)
-        m_overtakingShare += ((isOvertaking ? 1 : 0) - m_overtakingShare) * overtakingSmoothing;
+    recordOvertaking(*next, now);
     const request_number id = next->id;
     m_running[id] = { next->kind, now };
     m_waiting.erase(next);
--- a/src/gate/slot_queue.h
+++ b/src/gate/slot_queue.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "base/clock.h"
+#include "gate/overtaking_shares.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -37,6 +39,10 @@
     bool operator==(const slot_queue_settings&) const = default;
 };
 
+/// Time until another request may be sent to a backend server that tolerates a limited rate, if the given number of
+/// requests is sent before it. The rate may change between two calls.
+using start_delay = std::function<duration(std::size_t ahead)>;
+
 /// Queue for the slots of one backend server. Order: nested requests first, since their callers occupy slots while they
 /// wait; then by priority; then requests that can still meet their objective, by objective; then the others, by
 /// deadline.
@@ -57,6 +63,8 @@
     std::optional<request_number> takeNext(time_point now);
 
     void setSlots(int);
+    /// Limits the rate at which requests run, in addition to the slots.
+    void limitStarts(start_delay delay) { m_startDelay = std::move(delay); }
     int slots() const { return m_settings.slots; }
     std::size_t running() const { return m_running.size(); }
     std::size_t waiting() const { return m_waiting.size(); }
@@ -75,6 +83,15 @@
         time_point startedAt;
     };
 
+    duration startDelay(std::size_t ahead) const { return m_startDelay ? m_startDelay(ahead) : duration(); }
+    bool canRunNow() const;
+    bool isRateLimited() const { return startDelay(1) > duration::zero(); }
+    std::size_t rankOf(const queued_request&, time_point now) const;
+    /// Expected end of a request that waits for a limited start behind this many others.
+    time_point expectedLimitedEnd(const queued_request&, std::size_t ahead, std::size_t rank, time_point now) const;
+    bool isWorthWaitingForStart(const queued_request&, time_point now) const;
+    bool isUnservable(const queued_request&, std::size_t ahead, time_point now) const;
+    void recordOvertaking(const queued_request& next, time_point now);
     duration expectedWaitBehind(std::size_t ahead) const;
     bool isLate(const queued_request&, time_point now) const;
     bool isWorthWaiting(const queued_request&, time_point now) const;
@@ -86,12 +103,14 @@
     void updateServiceTime(const std::string& kind, duration);
 
     slot_queue_settings m_settings;
+    start_delay m_startDelay;
     std::vector<queued_request> m_waiting;
     std::unordered_map<request_number, running_request> m_running;
     std::unordered_map<std::string, duration> m_serviceTimes;
     duration m_meanServiceTime;
     /// Share of the freed slots that went to requests overtaking a late one, averaged while late requests waited.
     double m_overtakingShare = 0;
+    overtaking_shares m_overtaking; ///< While the rate of starts is limited.
 };
 
 } // namespace heatherdrift
