The gate limits requests to a cold backend server and checks its health

backend_health follows the state from heartbeats and health answers. A gate beside a backend server of unknown state treats it as cold: after its own start, in a new life, after a lost connection and on suspectCold(). The health is checked on these occasions, when the stated slowdown or the service times rise, and when a stated cold time should be over. Requests that find no start in time are refused as not run, with the time of the next free start.

--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -62,6 +62,7 @@
     m_current = announcement;
     m_hasEnded = false;
     m_gate.setBackend({ announcement.life(), announcement.id, announcement.slots });
+    m_gate.recordHeartbeat(announcement.coldFor);
     const bool isLateHeartbeat = isNewLife && hasDeparted(announcement.id);
     if (isLateHeartbeat)
         m_gate.closeAt(m_earlyDeparture->closesAt);
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -29,6 +29,20 @@
     constexpr int statusMisdirected = 421;
     constexpr int minFailureStatus = 500;
 
+    /// Whether the process of the backend server may have ended.
+    bool isLoss(error_code reason)
+    {
+        return reason == error_code::connection_lost || reason == error_code::connection_failed
+            || reason == error_code::unreachable;
+    }
+
+    /// Whether the request does not count against the rate that a cold backend server tolerates.
+    bool isUncounted(const result<http_response>& response)
+    {
+        return response.has_error() ? response.error().outcome == verdict::not_run
+                                    : response.value().head.status == statusMisdirected;
+    }
+
     request_fingerprint fingerprintOf(const routed_request& request)
     {
         const auto key = request.key ? std::to_string(*request.key) : std::string();
@@ -44,10 +58,14 @@
     , m_memory(createMessageMemory(settings.memoryBytes))
     , m_hooks(std::move(hooks))
     , m_client(http_client::create(base, settings.backend, clientOptions(64)))
+    , m_health(base, *m_client, port, settings.service,
+          { [this](const backend_answer& info) { recordLoad(info, boot_clock::now()); }, [this] { sweep(); } })
     , m_queue({})
     , m_keyLoad(keyLoadTimeConstant)
     , m_sweep(base, [this] { sweep(); })
+    , m_nextStart(base, [this] { runNext(); })
 {
+    m_queue.limitStarts([this](std::size_t ahead) { return m_health.startDelay(ahead); });
 }
 
 gate_service::~gate_service() = default;
@@ -56,7 +74,8 @@
 {
     if (backend == m_backend)
         return;
-    if (backend.life != m_backend.life) {
+    const bool isNewLife = backend.life != m_backend.life;
+    if (isNewLife) {
         recordEndOfLife();
         m_closesAt = time_point::max();
         m_queue.setSlots(backend.slots);
@@ -64,6 +83,8 @@
     }
     m_backend = backend;
     m_queue.setSlots(backend.slots);
+    if (isNewLife)
+        m_health.setBackend(backend.id);
     runNext();
 }
 
@@ -107,6 +128,13 @@
 
 void gate_service::setMaximumConnections(int count) { m_client->setMaximumConnections(count); }
 
+void gate_service::configure(const service_definition& service)
+{
+    if (service.maximumConnections > 0)
+        setMaximumConnections(service.maximumConnections);
+    m_health.configure(service);
+}
+
 void gate_service::closeAt(time_point at) { m_closesAt = std::min(m_closesAt, at); }
 
 gate_load gate_service::load() const
@@ -125,20 +153,25 @@
 std::optional<server_status> gate_service::status(time_point now) const
 {
     const auto& scheduling = m_settings.scheduling;
-    if (!m_statedLoad.last() && !scheduling.ranksByCaller && !scheduling.usesCompletionTime)
+    const bool isUsed
+        = m_statedLoad.last() || m_health.hasLimit() || scheduling.ranksByCaller || scheduling.usesCompletionTime;
+    if (!isUsed)
         return std::nullopt;
     server_status status;
     for (std::size_t level = 0; level < urgencyLevels; ++level)
         status.expectedWaits[level] = m_queue.expectedWait(static_cast<int>(level));
     status.serviceTime = m_queue.meanServiceTime();
     status.slowdown = m_statedLoad.slowdown(now);
+    status.cold = m_health.status(now);
     return status;
 }
 
 void gate_service::recordLoad(const backend_answer& info, time_point now)
 {
-    if (info.load)
-        return m_statedLoad.record(*info.load, now);
+    if (info.load) {
+        m_statedLoad.record(*info.load, now);
+        return m_health.recordSlowdown(m_statedLoad.last()->slowdown);
+    }
     if (info.hasMalformedLoad)
         logEvent(log_event::server_load_rejected, { { "backend_server", m_backend.id } });
 }
@@ -148,7 +181,8 @@
     gate_answer answer;
     answer.reason = reason;
     // Slots that become free before that go to queued requests, so an earlier retry would be refused again.
-    const auto room = m_queue.expectedWait() + m_queue.meanServiceTime();
+    const auto wait = m_queue.expectedWait();
+    const auto room = m_health.isLimiting() ? wait : wait + m_queue.meanServiceTime();
     answer.retryAfter = reason == error_code::not_owner ? retryAfterKeyMove : std::max<duration>(minRetryAfter, room);
     answer.load = load();
     return answer;
@@ -212,6 +246,7 @@
         }
         m_keyLoad.add(*entry.request.key, 1, now);
     }
+    m_health.postponeUnwritten();
     const auto& request = entry.request;
     const auto decision = m_queue.submit({ id, request.isFromOwnHost && m_origins.isNested(request.route),
                                              request.priority, request.route, request.objective, request.deadline },
@@ -221,6 +256,7 @@
     if (decision == queue_decision::refuse)
         return answer(id, refusal(error_code::overloaded));
     scheduleSweep();
+    scheduleStart();
 }
 
 void gate_service::run(request_number id)
@@ -257,6 +293,7 @@
     entry.call = fetchOwn(*m_client, std::move(message), entry.request.deadline, answerMemory(m_memory),
         { originOf, entry.request.id },
         [this, id](result<http_response> response) { handleResponse(id, std::move(response)); });
+    m_health.recordStart(id, entry.call);
 }
 
 void gate_service::handleResponse(request_number id, result<http_response> response)
@@ -266,11 +303,17 @@
         return;
     const auto now = boot_clock::now();
     const std::string detail = response.has_error() ? response.error().message : "";
+    const bool isConnectionLost = response.has_error() && isLoss(response.error().code);
+    if (isUncounted(response))
+        m_health.withdrawStart(id);
     const auto fingerprint = found->second.fingerprint;
     auto classified = classify(std::move(response));
     recordOutcome(fingerprint, classified, now);
     const bool isUsual = classified.outcome == verdict::ran && isSuccess(classified.response.head.status);
-    m_queue.finish(id, isUsual ? std::optional(now - found->second.startedAt) : std::nullopt);
+    const auto serviceTime = now - found->second.startedAt;
+    if (isUsual)
+        m_health.recordServiceTime(serviceTime, m_queue.serviceTime(found->second.request.route));
+    m_queue.finish(id, isUsual ? std::optional(serviceTime) : std::nullopt);
     classified.load = load();
     if (classified.outcome == verdict::may_have_run) {
         logEvent(log_event::request_lost,
@@ -278,12 +321,12 @@
                 { "fingerprint", fingerprintText(fingerprint) }, { "detail", detail },
                 { "backend_server", m_backend.id }, { "route", found->second.request.route },
                 { "waited_ms", millisecondsText(found->second.startedAt - found->second.receivedAt) },
-                { "ran_ms",
-                    std::to_string(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.startedAt).count()) },
-                { "running", std::to_string(m_queue.running()) }, { "waiting", std::to_string(m_queue.waiting()) } });
+                { "ran_ms", millisecondsText(serviceTime) }, { "running", std::to_string(m_queue.running()) },
+                { "waiting", std::to_string(m_queue.waiting()) } });
     }
     answer(id, std::move(classified));
+    if (isConnectionLost)
+        m_health.suspect();
     runNext();
 }
 
@@ -340,14 +383,18 @@
     m_queue.finish(id, std::nullopt);
     if (found->second.isAwaitingKey)
         --m_awaitingKeys;
-    if (const auto call = found->second.call)
+    if (const auto call = found->second.call) {
+        if (!call->hasWritten())
+            m_health.withdrawStart(id);
         call->cancel();
+    }
     m_requests.erase(found);
     runNext();
 }
 
 void gate_service::runNext()
 {
+    m_health.postponeUnwritten();
     while (const auto next = m_queue.takeNext(boot_clock::now())) {
         if (!hasCallerLeft(*next)) {
             run(*next);
@@ -357,6 +404,14 @@
         m_queue.finish(*next, std::nullopt);
         m_requests.erase(*next);
     }
+    scheduleStart();
+}
+
+void gate_service::scheduleStart()
+{
+    const auto delay = m_queue.waiting() > 0 ? m_health.startDelay(0) : duration();
+    if (delay > duration::zero())
+        m_nextStart.startOnce(delay);
 }
 
 bool gate_service::hasCallerLeft(request_number id) const
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -8,6 +8,7 @@
 #include "gate/stated_load.h"
 #include "http/http_client.h"
 #include "mesh/forward_protocol.h"
+#include "mesh/internal/backend_health.h"
 #include "mesh/platform_port.h"
 #include "ranges/key_load.h"
 #include "settings/mesh_settings.h"
@@ -67,6 +68,12 @@
     void setBackend(const gate_backend&);
     const gate_backend& backend() const { return m_backend; }
     void setMaximumConnections(int);
+    /// Applies the limits of the service of the backend server.
+    void configure(const service_definition&);
+    /// The backend server stated in a heartbeat how much longer it is cold; zero: it is warm.
+    void recordHeartbeat(duration coldFor) { m_health.recordHeartbeat(coldFor); }
+    /// The backend server counts as cold until it states otherwise; its health is checked at once.
+    void suspectCold() { m_health.suspect(); }
     /// Sends no request to the draining backend server after this time.
     void closeAt(time_point);
     /// Refuses new requests as not run from now on; queued and running ones continue.
@@ -82,6 +89,7 @@
     const std::shared_ptr<byte_budget>& memory() const { return m_memory; }
     const key_load& keyLoad() const { return m_keyLoad; }
     std::size_t inProgress() const { return m_requests.size(); }
+    const backend_health& health() const { return m_health; }
 
 private:
     struct gate_request {
@@ -100,6 +108,8 @@
     std::optional<time_point> refusedUntil(request_fingerprint, time_point now) const;
     gate_answer crashRefusal(time_point until, time_point now) const;
     void recordOutcome(request_fingerprint, const gate_answer&, time_point now);
+    /// What the end of a request says about the state of the backend server.
+    void recordState(request_number, const result<http_response>&);
     void recordEndOfLife();
     void recordLoad(const backend_answer&, time_point now);
     std::optional<server_status> status(time_point now) const;
@@ -115,6 +125,7 @@
     void answer(request_number, gate_answer);
     void sweep();
     void scheduleSweep();
+    void scheduleStart();
 
     const mesh_settings& m_settings;
     const platform_port& m_port;
@@ -125,6 +136,7 @@
     time_point m_endsAt = time_point::max();
     bool m_isStopping = false;
     std::unique_ptr<http_client> m_client;
+    backend_health m_health;
     slot_queue m_queue;
     request_origins m_origins;
     crash_detector m_crashes;
@@ -133,6 +145,7 @@
     std::map<request_number, gate_request> m_requests;
     request_number m_lastNumber = 0;
     timer m_sweep;
+    timer m_nextStart; ///< Fires when another request may be sent to the cold backend server.
     std::size_t m_awaitingKeys = 0;
 };
 
--- a/src/mesh/internal/mesh_metrics.cpp
+++ b/src/mesh/internal/mesh_metrics.cpp
@@ -1,5 +1,7 @@
 #include "mesh/internal/mesh_metrics.h"
 
+#include "mesh/internal/backend_health.h"
+
 namespace heatherdrift {
 
 namespace {
@@ -18,6 +20,12 @@
     , m_load(m_registry.gauge("heatherdrift_gate_load", "Share of the slots in use or waited for."))
     , m_demand(m_registry.gauge("heatherdrift_gate_demand", "Slots that the keys need, per slot."))
     , m_waiting(m_registry.gauge("heatherdrift_gate_in_progress", "Requests that wait or run at the gate."))
+    , m_isCold(m_registry.gauge("heatherdrift_backend_cold", "1 while the cold rate limits the backend server."))
+    , m_coldStarts(m_registry.counter(
+          "heatherdrift_cold_starts_total", "Requests sent to the backend server while it was cold."))
+    , m_checks(m_registry.counter("heatherdrift_health_checks_total", "Health checks of the backend server."))
+    , m_failedChecks(
+          m_registry.counter("heatherdrift_health_checks_failed_total", "Health checks without a usable answer."))
 {
 }
 
@@ -81,6 +89,17 @@
     m_waiting.Set(static_cast<double>(inProgress));
 }
 
+void mesh_metrics::backendHealth(bool isCold, const backend_health_counts& counts)
+{
+    const auto raise = [](prometheus::Counter& counter, std::uint64_t total) {
+        counter.Increment(static_cast<double>(total) - counter.Value());
+    };
+    m_isCold.Set(isCold ? 1 : 0);
+    raise(m_coldStarts, counts.coldStarts);
+    raise(m_checks, counts.checks);
+    raise(m_failedChecks, counts.failedChecks);
+}
+
 counting_store::counting_store(std::unique_ptr<watched_store> store, mesh_metrics& metrics)
     : m_store(std::move(store))
     , m_metrics(metrics)
--- a/src/mesh/internal/mesh_metrics.h
+++ b/src/mesh/internal/mesh_metrics.h
@@ -7,6 +7,8 @@
 
 namespace heatherdrift {
 
+struct backend_health_counts;
+
 /// Metrics of one node; docs/OPERATIONS.md lists them.
 class mesh_metrics {
 public:
@@ -22,6 +24,7 @@
     /// How late the event loop ran a timer.
     void loopLag(duration);
     void gateLoad(double load, double demand, std::size_t waiting);
+    void backendHealth(bool isCold, const backend_health_counts&);
 
     std::string text() const { return m_registry.text(); }
 
@@ -35,6 +38,10 @@
     prometheus::Gauge& m_load;
     prometheus::Gauge& m_demand;
     prometheus::Gauge& m_waiting;
+    prometheus::Gauge& m_isCold;
+    prometheus::Counter& m_coldStarts;
+    prometheus::Counter& m_checks;
+    prometheus::Counter& m_failedChecks;
 };
 
 /// Records metrics of the calls to a store.
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -313,8 +313,7 @@
             forwarded.bodyBytes = std::max(forwarded.bodyBytes, limits.bodyBytes);
             m_forwardServer->setLimits(forwarded);
             const auto* service = m_routes.service(m_settings.service);
-            if (service && service->maximumConnections > 0)
-                m_gate.setMaximumConnections(service->maximumConnections);
+            m_gate.configure(service ? *service : service_definition {});
             startOwnershipIfDue();
         }
 
@@ -358,6 +357,7 @@
                 return exchange->respond({ { statusNotFound, {} }, "" });
             const auto load = m_gate.load();
             m_metrics.gateLoad(load.load, load.demand, m_gate.inProgress());
+            m_metrics.backendHealth(m_gate.health().isLimiting(), m_gate.health().counts());
             exchange->respond({ { 200, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_metrics.text() });
         }
 
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -109,6 +109,13 @@
             "The backend server ended while requests were at work; the line names them by their fingerprints." },
         { log_event::server_load_rejected, "server_load_rejected", log_level::warning,
             "The backend server stated its load in a form that cannot be read; the statement is ignored." },
+        { log_event::backend_cold, "backend_cold", log_level::info,
+            "The backend server is cold, or it is not known whether it is; requests to it are limited to its cold "
+            "rate." },
+        { log_event::backend_warm, "backend_warm", log_level::info,
+            "The backend server states that it is warm; the cold rate no longer limits the requests to it." },
+        { log_event::health_check_failed, "health_check_failed", log_level::warning,
+            "The backend server did not answer a health check, or without its state." },
         { log_event::request_quarantined, "request_quarantined", log_level::warning,
             "A request was refused because requests with its content crashed backend servers." },
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", log_level::warning,
