Check the health of a silent backend server; note on the cold start limit

A backend server whose heartbeats no longer arrive kept counting as warm. Its health is now checked once after 2.7 s, and without a usable answer its state is unknown, so that the cold rate limits it. A rise of the slowdown causes no check while the backend server counts as cold anyway.

--- a/src/gate/tests/cold_start_limit_test.cpp
+++ b/src/gate/tests/cold_start_limit_test.cpp
@@ -311,5 +311,13 @@
         EXPECT_LE(refusedAfter[refusedAfter.size() * 9 / 10], 400ms);
     }
 
+    // Guards against refusals of requests for which there are starts.
+    TEST(ColdStartLimit, DemandBelowTheRateIsServed)
+    {
+        const auto outcome = simulate({ { 0, 150ms, 500ms, 3 }, { 1, 400ms, 1500ms, 4 }, { 2, 2s, 4s, 4 } }, 16, 60ms);
+        for (const auto& one : outcome)
+            EXPECT_LE(one.refusedAfter.size(), 1u) << "of " << one.offered;
+    }
+
 } // namespace
 } // namespace heatherdrift
--- a/src/mesh/internal/backend_health.cpp
+++ b/src/mesh/internal/backend_health.cpp
@@ -10,6 +10,8 @@
     constexpr auto checkTimeout = std::chrono::milliseconds(400);
     /// Requests wait this long for the answer to a check before the backend server counts as cold.
     constexpr auto usualCheckTime = std::chrono::milliseconds(150);
+    /// Three heartbeats of 870 ms. Without them, the state of the backend server is not known.
+    constexpr auto maxSilence = std::chrono::milliseconds(2700);
     constexpr std::size_t maxAnswerBytes = 64 * 1024;
     constexpr int statusOk = 200;
 
@@ -25,6 +27,7 @@
     , m_hooks(std::move(hooks))
     , m_limit(boot_clock::now())
     , m_checkTimer(base, [this] { check(); })
+    , m_silence(base, [this] { handleSilence(); })
 {
 }
 
@@ -53,6 +56,8 @@
     m_backendId = id;
     m_plan = health_check_plan();
     m_slowdown = m_serviceTime = rise_detector();
+    m_silence.stop();
+    m_isSilent = false;
     suspect();
 }
 
@@ -73,21 +78,38 @@
 {
     m_limit.recordHeartbeat(coldFor, boot_clock::now());
     m_plan.dropRepetition();
+    m_isSilent = false;
+    m_silence.startOnce(maxSilence);
     m_plan.setStatedEnd(m_limit.statedEnd());
     update();
 }
 
-void backend_health::recordSlowdown(double slowdown)
+/// The health is checked once per silence, and a failed check leaves the state unknown.
+void backend_health::handleSilence()
 {
-    if (!m_slowdown.record(slowdown))
-        return;
-    m_plan.requestAfterRise(boot_clock::now());
+    m_isSilent = true;
+    if (!canCheck())
+        return suspect();
+    m_plan.request(boot_clock::now());
     scheduleCheck();
 }
 
+void backend_health::recordSlowdown(double slowdown)
+{
+    if (m_slowdown.record(slowdown))
+        checkAfterRise();
+}
+
 void backend_health::recordServiceTime(duration serviceTime, duration expected)
 {
-    if (!m_serviceTime.record(std::chrono::duration<double>(serviceTime) / std::max(expected, duration(1))))
+    if (m_serviceTime.record(std::chrono::duration<double>(serviceTime) / std::max(expected, duration(1))))
+        checkAfterRise();
+}
+
+/// A backend server that counts as cold anyway is checked at its stated end.
+void backend_health::checkAfterRise()
+{
+    if (m_limit.isLimiting())
         return;
     m_plan.requestAfterRise(boot_clock::now());
     scheduleCheck();
@@ -150,6 +172,8 @@
     if (response.has_error()) {
         ++m_counts.failedChecks;
         m_plan.onFailed(now);
+        if (m_isSilent)
+            m_limit.suspect(now, {});
         logEvent(log_event::health_check_failed,
             { { "backend_server", m_backendId }, { "reason", std::string(toString(response.error().code)) },
                 { "detail", response.error().message } });
--- a/src/mesh/internal/backend_health.h
+++ b/src/mesh/internal/backend_health.h
@@ -60,6 +60,8 @@
 
     bool canCheck() const { return hasLimit() && !m_path.empty() && !m_backendId.empty(); }
     void scheduleCheck();
+    void checkAfterRise();
+    void handleSilence();
     void check();
     void handleAnswer(result<http_response>);
     void markUnknown(time_point now);
@@ -83,6 +85,8 @@
     bool m_isLoggedAsCold = false;
     http_call_ptr m_call;
     timer m_checkTimer;
+    timer m_silence; ///< Fires when several heartbeats are missing.
+    bool m_isSilent = false;
 };
 
 } // namespace heatherdrift
--- a/src/mesh/tests/cold_start_test.cpp
+++ b/src/mesh/tests/cold_start_test.cpp
@@ -256,6 +256,18 @@
         EXPECT_FALSE(gate->health().isLimiting());
     }
 
+    // Guards against a backend server that counts as warm for ever by an old statement.
+    TEST_F(ColdStartTest, ServerWithoutHeartbeatsAndHealthAnswersCountsAsCold)
+    {
+        startWarm();
+        gate->recordHeartbeat(0s);
+        answersChecks = false;
+        loop.runUntil([this] { return gate->health().isLimiting(); });
+        EXPECT_EQ(checks, 2);
+        gate->recordHeartbeat(0s);
+        EXPECT_FALSE(gate->health().isLimiting());
+    }
+
     // Guards against any effect on services without a cold rate.
     TEST_F(ColdStartTest, ServiceWithoutAColdRateIsNeitherCheckedNorLimited)
     {
