--- a/src/mesh/tests/cold_start_test.cpp
+++ b/src/mesh/tests/cold_start_test.cpp
@@ -1,6 +1,6 @@
 #include "http/tests/test_loop.h"
 #include "mesh/internal/gate_service.h"
-#include "mesh/tests/test_port.h"
+#include "mesh/tests/mesh_fixture.h"
 
 #include <algorithm>
 
@@ -286,5 +286,42 @@
         EXPECT_EQ(gate->load().status->cold, std::nullopt) << "its stated load is reported as before";
     }
 
+    /// A whole node whose backend server states in heartbeats how much longer it is cold.
+    class ColdNodeTest : public mesh_fixture {
+    protected:
+        ColdNodeTest()
+        {
+            port.decodeAnnouncement = [this, decode = port.decodeAnnouncement](const http_request& request) {
+                auto announcement = decode(request);
+                announcement.value().coldFor = coldFor;
+                return announcement;
+            };
+        }
+
+        bool isLimited(const mesh_node& node)
+        {
+            const auto metrics = loop.fetch(node.settings().metrics, { "GET", "/metrics", {}, "" }).value();
+            return metrics.body.find("\nheatherdrift_backend_cold 1\n") != std::string::npos;
+        }
+
+        duration coldFor {};
+    };
+
+    // Guards against a rate in the configuration, or a statement in a heartbeat, that does not reach the gate.
+    TEST_F(ColdNodeTest, HeartbeatsAndTheConfigurationDecideOnTheLimit)
+    {
+        addService("s", "h");
+        current.services[0].coldRequestsPerSecond = 16;
+        storeConfiguration();
+        const auto node = startNode("n", "s", { "127.0.0.1", 9 });
+        while (loop.fetch(node->settings().readiness, { "GET", "/ready", {}, "" }).value().head.status != 200) { }
+        EXPECT_TRUE(isLimited(*node)) << "unknown state";
+        ASSERT_EQ(announce(*node, "i", 1), 200);
+        EXPECT_FALSE(isLimited(*node));
+        coldFor = 2s;
+        ASSERT_EQ(announce(*node, "i", 1), 200);
+        EXPECT_TRUE(isLimited(*node));
+    }
+
 } // namespace
 } // namespace heatherdrift
