Forget the shares of an earlier cold time; a rank waits no less than the ones before it

A warm backend server whose state was unknown for a moment refused less urgent requests by the shares of its last cold time. The share of requests that could not meet their objective was not measured while none of them waited, so that they were queued as if nothing overtook them. The shares now start anew with each limited time, and those of earlier ranks hold for later ones.

The new test fails without the reset.

--- a/src/gate/internal/overtaking_shares.cpp
+++ b/src/gate/internal/overtaking_shares.cpp
@@ -23,7 +23,9 @@
 
 duration overtaking_shares::expectedWait(duration withoutOthers, std::size_t rank) const
 {
-    const double own = std::max(1 - m_shares[rank], minOwnShare);
+    // What overtakes the requests of a rank overtakes those of later ranks as well, of which none may have waited.
+    const double others = *std::max_element(m_shares.begin(), m_shares.begin() + static_cast<std::ptrdiff_t>(rank) + 1);
+    const double own = std::max(1 - others, minOwnShare);
     return std::chrono::duration_cast<duration>(withoutOthers / own);
 }
 
--- a/src/gate/internal/slot_queue.cpp
+++ b/src/gate/internal/slot_queue.cpp
@@ -172,6 +172,9 @@
 
 queue_decision slot_queue::submit(const queued_request& request, time_point now)
 {
+    // Shares of an earlier limited time say nothing about the next one.
+    if (!isRateLimited())
+        m_overtaking = {};
     if (m_waiting.empty() && canRunNow()) {
         m_running[request.id] = { request.kind, now };
         return queue_decision::run;
--- a/src/gate/tests/cold_start_limit_test.cpp
+++ b/src/gate/tests/cold_start_limit_test.cpp
@@ -319,5 +319,31 @@
             EXPECT_LE(one.refusedAfter.size(), 1u) << "of " << one.offered;
     }
 
+    // Guards against refusals at a warm backend server whose state is unknown for a moment, since more urgent requests
+    // took all starts when it was cold.
+    TEST(ColdStartLimit, SharesOfAnEarlierColdTimeAreForgotten)
+    {
+        bool isLimited = true;
+        duration first = 50ms;
+        slot_queue queue({ 64, 20ms });
+        queue.limitStarts([&](std::size_t ahead) { return isLimited ? first + duration(60'000 * ahead) : duration(); });
+        const auto submit = [&](request_number id, int priority) {
+            first = 50ms;
+            return queue.submit({ id, false, priority, "kind", start + 1s, start + 1s }, start);
+        };
+        EXPECT_EQ(submit(1, 2), queue_decision::wait);
+        for (request_number id = 2; id < 40; ++id) {
+            EXPECT_EQ(submit(id, 0), queue_decision::wait);
+            first = {};
+            EXPECT_EQ(queue.takeNext(start), id);
+        }
+        EXPECT_EQ(submit(40, 2), queue_decision::refuse);
+        isLimited = false;
+        EXPECT_EQ(queue.takeNext(start), 1u);
+        EXPECT_EQ(submit(41, 2), queue_decision::run);
+        isLimited = true;
+        EXPECT_EQ(submit(42, 2), queue_decision::wait);
+    }
+
 } // namespace
 } // namespace heatherdrift
