--- a/src/gate/internal/slot_queue.cpp
+++ b/src/gate/internal/slot_queue.cpp
@@ -59,14 +59,21 @@
         m_serviceTimes.clear();
 }
 
+bool slot_queue::canStart(const queued_request& request) const
+{
+    return m_reservation.mayStart(request.callHeight) && startDelay(0) <= duration::zero();
+}
+
 duration slot_queue::expectedWaitBehind(std::size_t ahead) const
 {
     const auto slots = static_cast<std::size_t>(m_settings.slots);
     if (m_running.size() + ahead < slots)
-        return {};
+        return startDelay(ahead);
     // Slots become free at even intervals of a service time divided by the number of slots.
     const auto slotsNeeded = static_cast<double>(m_running.size() + ahead - slots + 1);
-    return std::chrono::duration_cast<duration>(m_meanServiceTime * (slotsNeeded / static_cast<double>(slots)));
+    const auto forSlot
+        = std::chrono::duration_cast<duration>(m_meanServiceTime * (slotsNeeded / static_cast<double>(slots)));
+    return std::max(forSlot, startDelay(ahead));
 }
 
 duration slot_queue::expectedWaitBehind(const std::vector<waiting_share>& ahead, int callHeight) const
@@ -94,7 +101,7 @@
         if (count >= slots)
             wait = std::max(wait, work / count * (count - slots + 1) / slots);
     }
-    return wait;
+    return std::max(wait, startDelay(ahead.size()));
 }
 
 double slot_queue::shareLeftTo(int priority) const
@@ -157,8 +164,66 @@
     return ahead;
 }
 
+std::size_t slot_queue::rankOf(const queued_request& request, time_point now) const
+{
+    if (request.isNested && !m_settings.ranksByCaller)
+        return 0;
+    return 1 + 2 * urgencyLevel(request.priority) + (isLate(request, now) ? 1U : 0U);
+}
+
+time_point slot_queue::expectedLimitedEnd(
+    const queued_request& request, std::size_t ahead, std::size_t rank, time_point now) const
+{
+    return now + m_overtaking.expectedWait(expectedWaitBehind(ahead), rank) + serviceTime(request.kind);
+}
+
+/// Unlike slots, starts are known to become free at a given rate, so that the share of the more urgent requests decides
+/// which ones are worth queuing. The others would wait until their deadline and then be refused.
+bool slot_queue::isWorthWaitingForStart(const queued_request& request, time_point now) const
+{
+    const auto ahead = waitingAhead(request, now).size();
+    const auto needed = serviceTime(request.kind);
+    const auto rank = rankOf(request, now);
+    if (!isLate(request, now)
+        && expectedLimitedEnd(request, ahead, rank, now)
+                + std::chrono::duration_cast<duration>(needed * serviceTimeMargin)
+            <= request.objective)
+        return true;
+    const auto lateRank = !mayBeOvertaken(request) || isLate(request, now) ? rank : rank + 1;
+    return expectedLimitedEnd(request, ahead, lateRank, now) + needed / 2 <= request.deadline;
+}
+
+bool slot_queue::isUnservable(
+    const queued_request& request, const std::vector<waiting_share>& ahead, time_point now) const
+{
+    const auto needed = serviceTime(request.kind);
+    if (now + needed / 2 > request.deadline)
+        return true;
+    if (isRateLimited())
+        return expectedLimitedEnd(request, ahead.size(), rankOf(request, now), now) - needed / 2 > request.deadline;
+    return mayBeOvertaken(request) && isLate(request, now)
+        && expectedLateEnd(request, expectedWaitBehind(ahead, request.callHeight), now) - needed / 2 > request.deadline;
+}
+
+void slot_queue::recordOvertaking(const queued_request& next, time_point now)
+{
+    if (isRateLimited()) {
+        std::bitset<overtaking_shares::ranks> waiting;
+        for (const auto& request : m_waiting)
+            waiting.set(rankOf(request, now));
+        return m_overtaking.record(rankOf(next, now), waiting);
+    }
+    const bool isOvertaking = !isLate(next, now);
+    const bool isLateWaiting = std::ranges::any_of(
+        m_waiting, [&](const auto& request) { return isLate(request, now) && mayBeOvertaken(request); });
+    if (isLateWaiting)
+        m_overtakingShare += ((isOvertaking ? 1 : 0) - m_overtakingShare) * overtakingSmoothing;
+}
+
 bool slot_queue::isWorthWaiting(const queued_request& request, time_point now) const
 {
+    if (isRateLimited())
+        return isWorthWaitingForStart(request, now);
     const auto needed = serviceTime(request.kind);
     const auto wait = expectedWaitBehind(waitingAhead(request, now), request.callHeight);
     const auto end = now + std::chrono::duration_cast<duration>(wait / shareLeftTo(request.priority)) + needed;
@@ -181,11 +246,6 @@
     return now + std::chrono::duration_cast<duration>(waitBehind / share) + serviceTime(request.kind);
 }
 
-bool slot_queue::hasFreeSlotFor(const queued_request& request) const
-{
-    return m_reservation.mayStart(request.callHeight);
-}
-
 void slot_queue::start(const queued_request& request, time_point now)
 {
     m_running[request.id] = { request.kind, now, request.callHeight };
@@ -198,10 +258,13 @@
 {
     if (m_settings.ranksByCaller && request.isNested)
         m_reservation.enable();
+    // Shares of an earlier limited time say nothing about the next one.
+    if (!isRateLimited())
+        m_overtaking = {};
     const bool isOthersTurn = m_settings.ranksByCaller
-        ? std::ranges::any_of(m_waiting, [&](const auto& other) { return hasFreeSlotFor(other); })
+        ? std::ranges::any_of(m_waiting, [&](const auto& other) { return canStart(other); })
         : !m_waiting.empty();
-    if (!isOthersTurn && hasFreeSlotFor(request)) {
+    if (!isOthersTurn && canStart(request)) {
         start(request, now);
         return queue_decision::run;
     }
@@ -233,12 +296,8 @@
     std::vector<request_number> out;
     std::vector<waiting_share> ahead;
     std::erase_if(m_waiting, [&](const auto& request) {
-        const auto needed = serviceTime(request.kind);
-        const bool isOvertakenTooLong = mayBeOvertaken(request) && isLate(request, now)
-            && expectedLateEnd(request, expectedWaitBehind(ahead, request.callHeight), now) - needed / 2
-                > request.deadline;
-        if (!isOvertakenTooLong && now + needed / 2 <= request.deadline) {
-            ahead.push_back({ request.callHeight, needed });
+        if (!isUnservable(request, ahead, now)) {
+            ahead.push_back({ request.callHeight, serviceTime(request.kind) });
             return false;
         }
         out.push_back(request.id);
@@ -251,16 +310,12 @@
 {
     const queued_request* next = nullptr;
     for (const auto& request : m_waiting) {
-        if (hasFreeSlotFor(request) && (!next || precedes(request, *next, now)))
+        if (canStart(request) && (!next || precedes(request, *next, now)))
             next = &request;
     }
     if (!next)
         return std::nullopt;
-    const bool isOvertaking = !isLate(*next, now);
-    const bool isLateWaiting = std::ranges::any_of(
-        m_waiting, [&](const auto& request) { return isLate(request, now) && mayBeOvertaken(request); });
-    if (isLateWaiting)
-        m_overtakingShare += ((isOvertaking ? 1 : 0) - m_overtakingShare) * overtakingSmoothing;
+    recordOvertaking(*next, now);
     const request_number id = next->id;
     start(*next, now);
     cancel(id);
--- a/src/gate/slot_queue.h
+++ b/src/gate/slot_queue.h
@@ -3,10 +3,12 @@
 #include "admission/decaying_sum.h"
 #include "admission/server_status.h"
 #include "base/clock.h"
+#include "gate/overtaking_shares.h"
 #include "gate/slot_reservation.h"
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -44,6 +46,10 @@
     bool operator==(const slot_queue_settings&) const = default;
 };
 
+/// Time until another request may be sent to a backend server that tolerates a limited rate, if the given number of
+/// requests is sent before it. The rate may change between two calls.
+using start_delay = std::function<duration(std::size_t ahead)>;
+
 /// Queue for the slots of one backend server. Order: nested requests first, since their callers occupy slots while they
 /// wait; then by priority; then requests that can still meet their objective, by objective; then the others, by
 /// deadline. If it ranks by caller, priority comes first and nested requests go before others of the same priority;
@@ -65,6 +71,8 @@
     std::optional<request_number> takeNext(time_point now);
 
     void setSlots(int);
+    /// Limits the rate at which requests run, in addition to the slots.
+    void limitStarts(start_delay delay) { m_startDelay = std::move(delay); }
     int slots() const { return m_settings.slots; }
     std::size_t running() const { return m_running.size(); }
     std::size_t waiting() const { return m_waiting.size(); }
@@ -88,8 +96,16 @@
         duration serviceTime {};
     };
 
-    bool hasFreeSlotFor(const queued_request&) const;
+    duration startDelay(std::size_t ahead) const { return m_startDelay ? m_startDelay(ahead) : duration(); }
+    bool canStart(const queued_request&) const;
+    bool isRateLimited() const { return startDelay(1) > duration::zero(); }
     void start(const queued_request&, time_point now);
+    std::size_t rankOf(const queued_request&, time_point now) const;
+    /// Expected end of a request that waits for a limited start behind this many others.
+    time_point expectedLimitedEnd(const queued_request&, std::size_t ahead, std::size_t rank, time_point now) const;
+    bool isWorthWaitingForStart(const queued_request&, time_point now) const;
+    bool isUnservable(const queued_request&, const std::vector<waiting_share>& ahead, time_point now) const;
+    void recordOvertaking(const queued_request& next, time_point now);
     duration expectedWaitBehind(std::size_t ahead) const;
     /// The same without requests that arrive later, by the service times of the given requests before it.
     duration expectedWaitBehind(const std::vector<waiting_share>& ahead, int callHeight) const;
@@ -108,6 +124,7 @@
     void updateServiceTime(const std::string& kind, duration);
 
     slot_queue_settings m_settings;
+    start_delay m_startDelay;
     std::vector<queued_request> m_waiting;
     std::unordered_map<request_number, running_request> m_running;
     std::unordered_map<std::string, duration> m_serviceTimes;
@@ -118,6 +135,7 @@
     /// Seconds of expected work of started requests, by urgency level.
     std::array<decaying_sum, urgencyLevels> m_startedWork;
     time_point m_lastStartAt {};
+    overtaking_shares m_overtaking; ///< While the rate of starts is limited.
 };
 
 } // namespace heatherdrift
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -29,6 +29,20 @@
     constexpr int statusMisdirected = 421;
     constexpr int minFailureStatus = 500;
 
+    /// Whether the process of the backend server may have ended.
+    bool isLoss(error_code reason)
+    {
+        return reason == error_code::connection_lost || reason == error_code::connection_failed
+            || reason == error_code::unreachable;
+    }
+
+    /// Whether the request does not count against the rate that a cold backend server tolerates.
+    bool isUncounted(const result<http_response>& response)
+    {
+        return response.has_error() ? response.error().outcome == verdict::not_run
+                                    : response.value().head.status == statusMisdirected;
+    }
+
     request_fingerprint fingerprintOf(const routed_request& request)
     {
         const auto key = request.key ? std::to_string(*request.key) : std::string();
@@ -45,11 +59,15 @@
     , m_hooks(std::move(hooks))
     , m_evacuationTimer(base, [this] { refuseEvacuated(); })
     , m_client(http_client::create(base, settings.backend, clientOptions(64)))
+    , m_health(base, *m_client, port, settings.service,
+          { [this](const backend_answer& info) { recordLoad(info, boot_clock::now()); }, [this] { sweep(); } })
     , m_queue({ .ranksByCaller = settings.scheduling.ranksByCaller })
     , m_nested(settings.scheduling.ranksByCaller, m_hooks.statuses)
     , m_keyLoad(keyLoadTimeConstant)
     , m_sweep(base, [this] { sweep(); })
+    , m_nextStart(base, [this] { runNext(); })
 {
+    m_queue.limitStarts([this](std::size_t ahead) { return m_health.startDelay(ahead); });
 }
 
 gate_service::~gate_service() = default;
@@ -58,7 +76,8 @@
 {
     if (backend == m_backend)
         return;
-    if (backend.life != m_backend.life) {
+    const bool isNewLife = backend.life != m_backend.life;
+    if (isNewLife) {
         recordEndOfLife();
         m_closesAt = time_point::max();
         m_queue.setSlots(backend.slots);
@@ -66,6 +85,8 @@
     }
     m_backend = backend;
     m_queue.setSlots(backend.slots);
+    if (isNewLife)
+        m_health.setBackend(backend.id);
     runNext();
 }
 
@@ -109,6 +130,13 @@
 
 void gate_service::setMaximumConnections(int count) { m_client->setMaximumConnections(count); }
 
+void gate_service::configure(const service_definition& service)
+{
+    if (service.maximumConnections > 0)
+        setMaximumConnections(service.maximumConnections);
+    m_health.configure(service);
+}
+
 void gate_service::closeAt(time_point at) { m_closesAt = std::min(m_closesAt, at); }
 
 gate_load gate_service::load() const
@@ -127,7 +155,9 @@
 std::optional<server_status> gate_service::status(time_point now) const
 {
     const auto& scheduling = m_settings.scheduling;
-    if (!m_statedLoad.last() && !scheduling.ranksByCaller && !scheduling.usesCompletionTime)
+    const bool isUsed
+        = m_statedLoad.last() || m_health.hasLimit() || scheduling.ranksByCaller || scheduling.usesCompletionTime;
+    if (!isUsed)
         return std::nullopt;
     server_status status;
     for (std::size_t level = 0; level < urgencyLevels; ++level)
@@ -136,6 +166,7 @@
     const auto recent = m_queue.meanServiceTime();
     status.serviceTime = m_statedLoad.usualServiceTime().value_or(duration::zero());
     status.slowdown = m_statedLoad.slowdown(recent, now);
+    status.cold = m_health.status(now);
     return status;
 }
 
@@ -151,8 +182,10 @@
 
 void gate_service::recordLoad(const backend_answer& info, time_point now)
 {
-    if (info.load)
-        return m_statedLoad.record(*info.load, now);
+    if (info.load) {
+        m_statedLoad.record(*info.load, now);
+        return m_health.recordSlowdown(m_statedLoad.last()->slowdown);
+    }
     if (info.hasMalformedLoad)
         logEvent(log_event::server_load_rejected, { { "backend_server", m_backend.id } });
 }
@@ -162,7 +195,8 @@
     gate_answer answer;
     answer.reason = reason;
     // Slots that become free before that go to queued requests, so an earlier retry would be refused again.
-    const auto room = m_queue.expectedWait() + m_queue.meanServiceTime();
+    const auto wait = m_queue.expectedWait();
+    const auto room = m_health.isLimiting() ? wait : wait + m_queue.meanServiceTime();
     answer.retryAfter = reason == error_code::not_owner ? retryAfterKeyMove : std::max<duration>(minRetryAfter, room);
     answer.load = load();
     return answer;
@@ -228,6 +262,7 @@
         }
         m_keyLoad.add(*entry.request.key, 1, now);
     }
+    m_health.postponeUnwritten();
     const auto& request = entry.request;
     entry.isNested = request.isFromOwnHost && m_origins.isNested(request.route);
     if (auto refused = refusalForCalls(entry, now))
@@ -240,6 +275,7 @@
     if (decision == queue_decision::refuse)
         return answer(id, refusal(error_code::overloaded));
     scheduleSweep();
+    scheduleStart();
 }
 
 int gate_service::priorityOf(const gate_request& entry) const
@@ -321,6 +357,7 @@
     entry.call = fetchOwn(*m_client, std::move(message), entry.request.deadline, answerMemory(m_memory),
         { originOf, entry.request.id },
         [this, id](result<http_response> response) { handleResponse(id, std::move(response)); });
+    m_health.recordStart(id, entry.call);
 }
 
 void gate_service::handleResponse(request_number id, result<http_response> response)
@@ -330,13 +367,19 @@
         return;
     const auto now = boot_clock::now();
     const std::string detail = response.has_error() ? response.error().message : "";
+    const bool isConnectionLost = response.has_error() && isLoss(response.error().code);
+    if (isUncounted(response))
+        m_health.withdrawStart(id);
     const auto fingerprint = found->second.fingerprint;
     auto classified = classify(std::move(response));
     recordOutcome(fingerprint, classified, now);
     const bool isUsual = classified.outcome == verdict::ran && isSuccess(classified.response.head.status);
-    if (isUsual)
+    const auto serviceTime = now - found->second.startedAt;
+    if (isUsual) {
+        m_health.recordServiceTime(serviceTime, m_queue.serviceTime(found->second.request.route));
         recordServiceTime(found->second, now);
-    m_queue.finish(id, isUsual ? std::optional(now - found->second.startedAt) : std::nullopt);
+    }
+    m_queue.finish(id, isUsual ? std::optional(serviceTime) : std::nullopt);
     recordEnd(id, found->second, classified, now);
     classified.load = load();
     if (classified.outcome == verdict::may_have_run) {
@@ -345,12 +388,12 @@
                 { "fingerprint", fingerprintText(fingerprint) }, { "detail", detail },
                 { "backend_server", m_backend.id }, { "route", found->second.request.route },
                 { "waited_ms", millisecondsText(found->second.startedAt - found->second.receivedAt) },
-                { "ran_ms",
-                    std::to_string(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(now - found->second.startedAt).count()) },
-                { "running", std::to_string(m_queue.running()) }, { "waiting", std::to_string(m_queue.waiting()) } });
+                { "ran_ms", millisecondsText(serviceTime) }, { "running", std::to_string(m_queue.running()) },
+                { "waiting", std::to_string(m_queue.waiting()) } });
     }
     answer(id, std::move(classified));
+    if (isConnectionLost)
+        m_health.suspect();
     runNext();
 }
 
@@ -410,14 +453,18 @@
     m_nested.onCancelled(id);
     if (found->second.isAwaitingKey)
         --m_awaitingKeys;
-    if (const auto call = found->second.call)
+    if (const auto call = found->second.call) {
+        if (!call->hasWritten())
+            m_health.withdrawStart(id);
         call->cancel();
+    }
     m_requests.erase(found);
     runNext();
 }
 
 void gate_service::runNext()
 {
+    m_health.postponeUnwritten();
     while (const auto next = m_queue.takeNext(boot_clock::now())) {
         if (!hasCallerLeft(*next)) {
             run(*next);
@@ -427,6 +474,14 @@
         m_queue.finish(*next, std::nullopt);
         m_requests.erase(*next);
     }
+    scheduleStart();
+}
+
+void gate_service::scheduleStart()
+{
+    const auto delay = m_queue.waiting() > 0 ? m_health.startDelay(0) : duration();
+    if (delay > duration::zero())
+        m_nextStart.startOnce(delay);
 }
 
 bool gate_service::hasCallerLeft(request_number id) const
--- a/src/mesh/internal/mesh_metrics.cpp
+++ b/src/mesh/internal/mesh_metrics.cpp
@@ -1,5 +1,7 @@
 #include "mesh/internal/mesh_metrics.h"
 
+#include "mesh/internal/backend_health.h"
+
 namespace heatherdrift {
 
 namespace {
@@ -24,6 +26,12 @@
           "Requests refused before they ran, since their nested calls would find no capacity."))
     , m_lostCalls(m_registry.counter(
           "heatherdrift_gate_lost_calls_total", "Executions that ended badly after one of their calls was refused."))
+    , m_isCold(m_registry.gauge("heatherdrift_backend_cold", "1 while the cold rate limits the backend server."))
+    , m_coldStarts(m_registry.counter(
+          "heatherdrift_cold_starts_total", "Requests sent to the backend server while it was cold."))
+    , m_checks(m_registry.counter("heatherdrift_health_checks_total", "Health checks of the backend server."))
+    , m_failedChecks(
+          m_registry.counter("heatherdrift_health_checks_failed_total", "Health checks without a usable answer."))
 {
 }
 
@@ -117,6 +125,17 @@
     m_waiting.Set(static_cast<double>(inProgress));
 }
 
+void mesh_metrics::backendHealth(bool isCold, const backend_health_counts& counts)
+{
+    const auto raise = [](prometheus::Counter& counter, std::uint64_t total) {
+        counter.Increment(static_cast<double>(total) - counter.Value());
+    };
+    m_isCold.Set(isCold ? 1 : 0);
+    raise(m_coldStarts, counts.coldStarts);
+    raise(m_checks, counts.checks);
+    raise(m_failedChecks, counts.failedChecks);
+}
+
 counting_store::counting_store(std::unique_ptr<watched_store> store, mesh_metrics& metrics)
     : m_store(std::move(store))
     , m_metrics(metrics)
--- a/src/mesh/internal/mesh_metrics.h
+++ b/src/mesh/internal/mesh_metrics.h
@@ -7,6 +7,8 @@
 
 namespace heatherdrift {
 
+struct backend_health_counts;
+
 /// Metrics of one node; docs/OPERATIONS.md lists them.
 class mesh_metrics {
 public:
@@ -29,6 +31,7 @@
     void statusesExchanged(std::string_view direction, std::size_t count);
     void statusesKnown(const std::string& service, std::size_t count);
     void gateLoad(double load, double demand, std::size_t waiting);
+    void backendHealth(bool isCold, const backend_health_counts&);
 
     std::string text() const { return m_registry.text(); }
 
@@ -46,6 +49,10 @@
     prometheus::Gauge& m_waiting;
     prometheus::Counter& m_refusedForCalls;
     prometheus::Counter& m_lostCalls;
+    prometheus::Gauge& m_isCold;
+    prometheus::Counter& m_coldStarts;
+    prometheus::Counter& m_checks;
+    prometheus::Counter& m_failedChecks;
 };
 
 /// Records metrics of the calls to a store.
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -80,8 +80,8 @@
                           request_fingerprint request, const life_name& life) { m_crashExchange.onRun(request, life); },
                       [this](request_fingerprint request) { m_crashExchange.onAnswer(request); },
                       [this](const backend_crash& crash) { m_crashExchange.onCrash(crash); },
-                      [this](
-                          const std::string& service, time_point now) { return m_directory.statuses(service, now); } })
+                      [this](const std::string& service, time_point now) { return m_directory.statuses(service, now); },
+                      [this] { m_gate.suspectCold(); } })
             , m_forwards({ m_settings, m_directory, m_gate, m_sender, m_metrics })
             , m_crashExchange(base, m_settings, m_directory, m_suspects)
             , m_ownership(base, m_settings, *m_store, { rangeTable, m_settings.service },
@@ -290,8 +290,7 @@
             forwarded.bodyBytes = std::max(forwarded.bodyBytes, limits.bodyBytes);
             m_forwardServer->setLimits(forwarded);
             const auto* service = m_routes.service(m_settings.service);
-            if (service && service->maximumConnections > 0)
-                m_gate.setMaximumConnections(service->maximumConnections);
+            m_gate.configure(service ? *service : service_definition {});
             startOwnershipIfDue();
         }
 
@@ -339,6 +338,7 @@
             m_metrics.nestedCalls(calls.refusedExecutions(), calls.lostExecutions());
             for (const auto& [service, count] : m_directory.knownStatuses(boot_clock::now()))
                 m_metrics.statusesKnown(service, count);
+            m_metrics.backendHealth(m_gate.health().isLimiting(), m_gate.health().counts());
             exchange->respond({ { 200, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_metrics.text() });
         }
 
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -122,6 +122,13 @@
             "The slowdown that the backend server states contradicts its service times and is ignored for now." },
         { log_event::server_load_plausible, "server_load_plausible", log_level::info,
             "The slowdown that the backend server states agrees with its service times again and is used." },
+        { log_event::backend_cold, "backend_cold", log_level::info,
+            "The backend server is cold, or it is not known whether it is; requests to it are limited to its cold "
+            "rate." },
+        { log_event::backend_warm, "backend_warm", log_level::info,
+            "The backend server states that it is warm; the cold rate no longer limits the requests to it." },
+        { log_event::health_check_failed, "health_check_failed", log_level::warning,
+            "The backend server did not answer a health check, or without its state." },
         { log_event::request_quarantined, "request_quarantined", log_level::warning,
             "A request was refused because requests with its content crashed backend servers." },
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", log_level::warning,
