Block signals until their handlers are installed

Cause: SIGHUP and SIGTERM kept their default action from the start of main() until libevent had installed the handlers, so that either of them ended a process that was reading its settings. The same window opened when the handlers were removed at the end.

The time before main(), in which the dynamic loader works, is not covered: 4 to 8 ms on the arm64 machine of this work.

--- a/cmake/HeatherdriftModule.cmake
+++ b/cmake/HeatherdriftModule.cmake
@@ -29,3 +29,13 @@
   gtest_discover_tests(heatherdrift_${name}_test TEST_PREFIX "${name}." DISCOVERY_TIMEOUT 60
     PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 900)
 endfunction()
+
+# heatherdrift_test_program(NAME program DEFINITION)
+# The tests of the module start the program; its path is in the definition.
+function(heatherdrift_test_program name program definition)
+  if(NOT HEATHERDRIFT_TESTS)
+    return()
+  endif()
+  target_compile_definitions(heatherdrift_${name}_test PRIVATE ${definition}="$<TARGET_FILE:${program}>")
+  add_dependencies(heatherdrift_${name}_test ${program})
+endfunction()
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -142,12 +142,13 @@
 
 int main(int argc, char** argv)
 {
+    // The program has no handlers: the default action of other signals ends it, as intended.
+    signal(SIGPIPE, SIG_IGN);
     absl::SetProgramUsageMessage("Open-loop load generator: heatherdrift-load --plan=FILE --entries=ip:port,...\n"
                                  "Exit status: 0 without findings; 1 if an answer was wrong, foreign, truncated or "
                                  "duplicate; 2 for invalid flags, an invalid plan or a file that cannot be written; "
                                  "3 if requests were not sent because all connections were in use.");
     absl::ParseCommandLine(argc, argv);
-    signal(SIGPIPE, SIG_IGN);
     const auto plan = loadPlanFile(absl::GetFlag(FLAGS_plan));
     if (plan.has_error())
         return reject("plan: " + plan.error().message);
--- a/src/node/heatherdriftd.cpp
+++ b/src/node/heatherdriftd.cpp
@@ -1,3 +1,4 @@
+#include "base/signal_block.h"
 #include "node/node.h"
 #include "settings/node_settings.h"
 #include "telemetry/log_event.h"
@@ -25,6 +26,10 @@
 
 int main(int argc, char** argv)
 {
+    heatherdrift::blockSignals({ SIGTERM, SIGINT });
+    signal(SIGPIPE, SIG_IGN);
+    // The settings are read at the start only, so there is nothing to do.
+    signal(SIGHUP, SIG_IGN);
     absl::SetProgramUsageMessage("Runs one node of heatherdrift: heatherdriftd --settings=FILE");
     absl::ParseCommandLine(argc, argv);
     const auto settings = heatherdrift::loadNodeSettings(absl::GetFlag(FLAGS_settings));
@@ -36,7 +41,6 @@
         std::cout << "settings are valid\n";
         return 0;
     }
-    signal(SIGPIPE, SIG_IGN);
     heatherdrift::startLogging(settings.value().leastLogLevel);
     const auto node = heatherdrift::node::create(settings.value());
     if (node.has_error())
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -3,6 +3,7 @@
 #include "base/delayed_calls.h"
 #include "base/event_handle.h"
 #include "base/hash.h"
+#include "base/signal_block.h"
 #include "control/control_node.h"
 #include "control/tcp_peer_transport.h"
 #include "http/http_server.h"
@@ -101,11 +102,14 @@
             measure.startRepeating(metricsInterval);
             const auto terminate = watchSignal(SIGTERM);
             const auto interrupt = watchSignal(SIGINT);
+            unblockSignals({ SIGTERM, SIGINT });
             logEvent(log_event::node_started,
                 { { "instance", m_settings.instance }, { "entry", toString(m_settings.listeners.entry) },
                     { "admin", toString(m_settings.listeners.admin) } });
             m_node->start();
             event_base_loop(m_controlBase.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+            // Removing a handler restores the default action.
+            blockSignals({ SIGTERM, SIGINT });
             logEvent(log_event::node_stopped, { { "instance", m_settings.instance } });
         }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -19,6 +19,7 @@
     static result<std::unique_ptr<node>> create(const node_settings&);
 
     /// Runs until the node has left: SIGTERM or SIGINT starts a drain, a second one ends the process at once.
+    /// Unblocks both once their handlers are installed.
     virtual void run() = 0;
 };
 
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -1,4 +1,5 @@
 #include "base/event_handle.h"
+#include "base/signal_block.h"
 #include "standin/backend_server.h"
 #include "standin/store_service.h"
 
@@ -35,6 +36,7 @@
 
 constexpr int usageStatus = 2;
 constexpr int crashStatus = 70;
+constexpr auto stopSignals = { SIGTERM, SIGINT, SIGHUP };
 
 /// Ends the process with the usage status.
 [[noreturn]] void fail(const std::string& message)
@@ -114,7 +116,7 @@
     return settings;
 }
 
-/// Serves until SIGTERM or SIGINT.
+/// Serves until SIGTERM, SIGINT or SIGHUP.
 template <typename Service> int run(event_base* base, const result<std::unique_ptr<Service>>& service)
 {
     if (service.has_error())
@@ -125,9 +127,13 @@
         = [](evutil_socket_t, short, void* argument) { event_base_loopbreak(static_cast<event_base*>(argument)); };
     const event_handle onTerminate(evsignal_new(base, SIGTERM, stop, base));
     const event_handle onInterrupt(evsignal_new(base, SIGINT, stop, base));
-    event_add(onTerminate.get(), nullptr);
-    event_add(onInterrupt.get(), nullptr);
+    const event_handle onHangUp(evsignal_new(base, SIGHUP, stop, base));
+    for (const auto* watch : { &onTerminate, &onInterrupt, &onHangUp })
+        event_add(watch->get(), nullptr);
+    unblockSignals(stopSignals);
     event_base_dispatch(base);
+    // Removing a handler restores the default action.
+    blockSignals(stopSignals);
     return EXIT_SUCCESS;
 }
 
@@ -135,10 +141,11 @@
 
 int main(int argc, char** argv)
 {
+    blockSignals(stopSignals);
+    std::signal(SIGPIPE, SIG_IGN);
     absl::SetProgramUsageMessage(
         "stand-ins of the platform: heatherdrift-standin table-store|object-store|backend [flags]");
     const auto arguments = absl::ParseCommandLine(argc, argv);
-    std::signal(SIGPIPE, SIG_IGN);
     if (arguments.size() != 2)
         fail("expected one of table-store, object-store, backend");
     const std::string_view kind = arguments[1];
