Treat an answer with an invalid final status as broken

Cause: a signed answer "HTTP/1.1 000 OK" was read like any other, so that the caller got "HTTP/1.1 0 <unknown>".

Change: the client connection fails on a final answer with a status below 200 or above 599 (RFC 9110, section 15), as it does on one that cannot be parsed: the request may have run, the connection is closed. Both request paths read answers there, so callers get 502, an unsafe request is not sent again, and a safe one is within its limits. Interim answers before the final one and answers of other requests are skipped as before.

Tests: BrokenAnswerTest.InvalidFinalStatusIsNoAnswer (http), RequestPathTest.InvalidStatusIsABrokenAnswer and SafeRequestIsSentAgainAfterAnInvalidStatus (mesh), FaultsOfTheBackendServer with one more fault and IdempotentCallIsSentAgainAfterAnInvalidStatus (routing) fail without the change and pass with it.

--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -29,7 +29,8 @@
     answer_matching matching;
     std::function<void(const http_response_head&)> onHead; ///< Without hop-by-hop headers.
     std::function<void(std::string_view)> onData;
-    /// Called exactly once unless the call is cancelled. Success: the answer is whole. Failure: `not_run` if no byte of
+    /// Called exactly once unless the call is cancelled. Success: the answer is whole and its status is 200 to 599.
+    /// Failure: `not_run` if no byte of
     /// the request was written to the connection (connection_failed, connection_refused, unreachable,
     /// deadline_exceeded, overloaded: no connection free), otherwise `may_have_run` (connection_lost, unreachable,
     /// deadline_exceeded).
--- a/src/http/internal/client_connection.cpp
+++ b/src/http/internal/client_connection.cpp
@@ -18,6 +18,9 @@
     constexpr std::size_t maxOverheadBytes = 1 << 20;
     /// A chunk of one byte takes six more, with a usual form of its size.
     constexpr std::size_t maxOverheadPerBodyByte = 16;
+    /// Bounds of the status of a final answer (RFC 9110, section 15).
+    constexpr int minFinalStatus = 200;
+    constexpr int maxFinalStatus = 599;
     constexpr std::size_t maxRequests = 4096; ///< Per connection; bounds the memory for their ids.
 
     std::string requestHead(const http_request& request, const std::string& peerName)
@@ -219,6 +222,8 @@
         return false;
     if (m_isInterim)
         return !m_parser.isUnframed();
+    if (head.status < minFinalStatus || head.status > maxFinalStatus)
+        return false;
     if (m_parser.isUnframed() && !m_acceptsUnframed)
         return false;
     m_keepsAlive = m_parser.keepsAlive() && !m_parser.isUnframed();
--- a/src/http/tests/broken_answer_test.cpp
+++ b/src/http/tests/broken_answer_test.cpp
@@ -78,5 +78,20 @@
         expectBroken(interim + "HTTP/1.1 200 OK\r\n", end_kind::close);
     }
 
+    // Guards against a status that no reader understands, such as 000, which is passed on as a whole answer.
+    TEST_F(BrokenAnswerTest, InvalidFinalStatusIsNoAnswer)
+    {
+        const std::string rest = " OK\r\nX-Signed: 1\r\nContent-Length: 4\r\n\r\nbody";
+        for (const std::string status : { "000", "0", "20", "099", "600", "999" }) {
+            expectBroken("HTTP/1.1 " + status + rest, end_kind::close);
+            expectBroken("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + rest, end_kind::close);
+        }
+        for (const int status : { 200, 599 }) {
+            const auto answer = fetchPart("HTTP/1.1 " + std::to_string(status) + rest, end_kind::close);
+            ASSERT_TRUE(answer.has_value()) << status;
+            EXPECT_EQ(answer.value().head.status, status);
+        }
+    }
+
 } // namespace
 } // namespace heatherdrift
--- a/src/mesh/tests/request_path_test.cpp
+++ b/src/mesh/tests/request_path_test.cpp
@@ -144,6 +144,30 @@
         EXPECT_EQ(arrivals, 1);
     }
 
+    // Guards against a signed answer with a status that callers do not understand, which is passed on.
+    TEST_F(RequestPathTest, InvalidStatusIsABrokenAnswer)
+    {
+        configure(false);
+        for (const int status : { 0, 99, 600, 999 }) {
+            arrivals = 0;
+            onRequest = [&](http_exchange_ptr exchange) { exchange->respond(signedAnswer(status, "whole")); };
+            EXPECT_EQ(fetch().head.status, 502) << status;
+            EXPECT_EQ(arrivals, 1) << status;
+        }
+    }
+
+    // The same for a request that may be sent again. A retry for a key goes to the same backend server.
+    TEST_F(RequestPathTest, SafeRequestIsSentAgainAfterAnInvalidStatus)
+    {
+        settings.retryShare = 4; // The budget does not decide.
+        configure(true, true);
+        onRequest = [&](http_exchange_ptr exchange) {
+            exchange->respond(signedAnswer(arrivals % 2 == 1 ? 0 : 200, "whole"));
+        };
+        EXPECT_EQ(fetch().head.status, 200);
+        EXPECT_EQ(arrivals, 2);
+    }
+
     // Guards against passing on a success response that the backend server itself did not produce.
     TEST_F(RequestPathTest, SuccessWithoutTheBackendServersSignatureIsAFailure)
     {
--- a/src/routing/tests/request_path_test.cpp
+++ b/src/routing/tests/request_path_test.cpp
@@ -147,6 +147,12 @@
                     exchange->respond({ { 200, { { header::requestId, "other" } } }, "x" });
                 },
                 "may_have_run", "connection_lost" },
+            { "answers with a status that is none",
+                [](http_exchange_ptr exchange) {
+                    const auto id = std::string(exchange->request().headers.find(header::requestId).value_or(""));
+                    exchange->respond({ { 0, { { header::requestId, id } } }, "x" });
+                },
+                "may_have_run", "connection_lost" },
         };
         for (const auto& fault : faults) {
             backends["b"].answer = nullptr;
@@ -225,6 +231,16 @@
         EXPECT_EQ(answer.body, "second");
     }
 
+    // Guards against an answer with an invalid status that is passed on to the caller of a safe call.
+    TEST_F(RequestPathTest, IdempotentCallIsSentAgainAfterAnInvalidStatus)
+    {
+        backends["b"].answer = [&](http_exchange_ptr exchange) {
+            exchange->respond({ { backends["b"].requests == 1 ? 600 : 200, {} }, "x" });
+        };
+        EXPECT_EQ(request("a", "lookup").head.status, 200);
+        EXPECT_EQ(backends["b"].requests, 2);
+    }
+
     TEST_F(RequestPathTest, OnceCallRunsOnceAndRepeatsItsAnswer)
     {
         http_headers headers { { header::token, token("a") } };
