Order the lives of a backend server by what the node has observed

Cause: the order of two lives came from the backend server's clock alone. After a backward step the heartbeats of the present life counted as late ones of an earlier life: they were acknowledged and ignored, and so was its departure, also across a restart of the node. m_current->sequence was read without m_current for a late heartbeat before any other.

Change: life_order (src/gate) decides which life is present. The clock counts where nothing speaks against it. Otherwise a life is taken when its heartbeats go on while the present one is silent and its holds have expired, or when a connection to the address was refused. The name of such a life gets a start after that of the life before, so that everything that orders names stays right; the member row has the stated start as well, so that a restarted node recognises the life. A heartbeat with a departure that is not taken is answered with 503, and so is a shutdown notice while another life of the same id is undecided. A life that the row shows to be an earlier one is forgotten without counting the holds that an earlier node process granted as ended.

--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -28,18 +28,16 @@
     , m_gate(gate)
     , m_ownership(ownership)
     , m_hooks(std::move(hooks))
+    , m_lives(settings.heartbeatInterval)
     , m_departureTimer(base, [this] { settleDepartures(); })
     , m_deferredAnswerTimer(base, [this] { answerDeferred(); })
 {
 }
 
-bool announcement_service::isOlder(const backend_announcement& announcement) const
+std::optional<std::int64_t> announcement_service::statedStart() const
 {
-    if (!m_current)
-        return m_earlier && announcement.startedAt < startOf(m_earlier->life);
-    if (announcement.startedAt != m_current->startedAt)
-        return announcement.startedAt < m_current->startedAt;
-    return announcement.id == m_current->id && announcement.sequence <= m_current->sequence;
+    const auto& life = m_lives.present();
+    return life && life->stated.bornAt != life->order ? std::optional(life->stated.bornAt) : std::nullopt;
 }
 
 void announcement_service::startLeaving()
@@ -109,6 +107,10 @@
     }
     if (m_current && m_current->startedAt < startOf(row.life))
         discardCurrent();
+    if (!m_current) {
+        const auto order = startOf(row.life);
+        m_lives.presume({ { row.backendId, row.statedStart.value_or(order) }, order }, boot_clock::now());
+    }
     if (m_current) {
         if (row.isDraining && m_current->life() == row.life)
             closeNow();
@@ -119,7 +121,8 @@
     }
 }
 
-/// The heartbeat that was taken first had been sent by a life before the one in the row.
+/// The heartbeat that was taken first had been sent by a life before the one in the row, or its order is not known. No
+/// departure that it states has taken effect.
 void announcement_service::discardCurrent()
 {
     logEvent(log_event::announcement_outdated,
@@ -128,6 +131,15 @@
     m_current.reset();
     m_isLeaving = false;
     m_gate.setBackend({});
+    m_ownership.discardLife();
+    m_deferredAnswerTimer.stop();
+    if (const auto exchange = std::exchange(m_deferredExchange, nullptr))
+        exchange->respond(m_port.encodeGrant({}));
+    std::erase_if(m_unacknowledged, [](const auto& departure) {
+        if (departure.isHeartbeat)
+            departure.exchange->respond({ { statusUnavailable, {} }, "" });
+        return departure.isHeartbeat;
+    });
 }
 
 void announcement_service::onTableRead()
@@ -194,6 +206,7 @@
         return exchange->respond({ { statusUnavailable, {} }, "" });
     }
     const auto now = boot_clock::now();
+    const bool isPresent = m_current ? m_current->id == id : m_earlier && m_earlier->backendId == id;
     if (m_current && m_current->id == id)
         startLeaving();
     else if (!m_current && m_earlier && m_earlier->backendId == id) {
@@ -202,6 +215,12 @@
     } else
         // The acknowledgement binds this process as well if it has started after the last heartbeat.
         m_earlyDeparture = { id, now + m_settings.drainTime - drainMargin };
+    // The notice may be that of a later life with the same id, which has not been taken yet and would not leave.
+    if (isPresent && m_lives.isUndecided(id, now)) {
+        logEvent(log_event::departure_undecided, { { "backend_server", id } });
+        m_hooks.onChanged();
+        return exchange->respond({ { statusUnavailable, {} }, "" });
+    }
     acknowledgeWhenRecorded({ id, std::move(exchange), false, now });
 }
 
@@ -210,6 +229,32 @@
     return m_port.encodeGrant(m_hooks.isPartitioned() ? m_ownership.grant(receivedAt) : hold_grant {});
 }
 
+void announcement_service::logOrder(heartbeat_verdict verdict, const backend_announcement& announcement) const
+{
+    const auto& present = m_lives.present();
+    const std::initializer_list<log_field> fields { { "backend_server", announcement.id },
+        { "stated_start", std::to_string(announcement.startedAt) },
+        { "sequence", std::to_string(announcement.sequence) },
+        { "taken", makeLife(present->stated.id, present->order) } };
+    if (verdict == heartbeat_verdict::undecided)
+        logEvent(log_event::life_undecided, fields);
+    else if (verdict == heartbeat_verdict::next && present->order != announcement.startedAt)
+        logEvent(log_event::life_taken_against_clock, fields);
+    else if (verdict == heartbeat_verdict::late || verdict == heartbeat_verdict::repeated)
+        logEvent(log_event::announcement_outdated, fields);
+}
+
+/// A backend server takes the answer to a heartbeat in which it leaves for the acknowledgement of its drain.
+void announcement_service::answerNotTaken(
+    const backend_announcement& announcement, heartbeat_verdict verdict, const http_exchange_ptr& exchange)
+{
+    const bool hasEffect
+        = verdict == heartbeat_verdict::repeated && m_current && m_isLeaving && isDepartureRecorded(announcement.id);
+    if (announcement.isDraining && !hasEffect)
+        return exchange->respond({ { statusUnavailable, {} }, "" });
+    exchange->respond(m_port.encodeGrant({}));
+}
+
 void announcement_service::handle(http_exchange_ptr exchange)
 {
     const auto now = boot_clock::now();
@@ -226,13 +271,14 @@
                                         : "service or address differs from the settings of this node" } });
         return exchange->respond({ { statusBadRequest, {} }, "" });
     }
-    const auto& announcement = decoded.value();
-    if (isOlder(announcement)) {
-        logEvent(log_event::announcement_outdated,
-            { { "backend_server", announcement.id }, { "sequence", std::to_string(announcement.sequence) },
-                { "taken", std::to_string(m_current->sequence) } });
-        return exchange->respond(m_port.encodeGrant({}));
-    }
+    backend_announcement announcement = decoded.value();
+    m_lives.setHeartbeatInterval(m_settings.heartbeatInterval);
+    const auto verdict = m_lives.observe(
+        { announcement.id, announcement.startedAt }, announcement.sequence, now, m_ownership.holdsEnd());
+    logOrder(verdict, announcement);
+    if (verdict != heartbeat_verdict::present && verdict != heartbeat_verdict::next)
+        return answerNotTaken(announcement, verdict, exchange);
+    announcement.startedAt = m_lives.present()->order;
     answerDeferred();
     updateCurrent(announcement);
     m_hooks.onChanged();
@@ -268,6 +314,7 @@
 
 void announcement_service::onBackendRefused()
 {
+    m_lives.onPresentEnded();
     if (!m_current || std::exchange(m_hasEnded, true))
         return;
     logEvent(log_event::backend_lost, { { "backend_server", m_current->id } });
--- a/src/mesh/internal/announcement_service.h
+++ b/src/mesh/internal/announcement_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gate/life_order.h"
 #include "http/http_server.h"
 #include "mesh/internal/gate_service.h"
 #include "mesh/internal/ownership.h"
@@ -36,7 +37,10 @@
     /// The store has written this row of the node.
     void onRowWritten(const mesh_member&);
 
+    /// The last heartbeat taken. Its start is the one by which lives are ordered, not the stated one.
     const std::optional<backend_announcement>& current() const { return m_current; }
+    /// Start that the present life states, if it differs from that in its name.
+    std::optional<std::int64_t> statedStart() const;
     bool isLeaving() const { return m_isLeaving; }
     /// Whether the process of the backend server is certain to have ended.
     bool hasEnded() const { return m_hasEnded; }
@@ -62,7 +66,8 @@
     };
 
     void handleDeparture(const std::string& id, http_exchange_ptr);
-    bool isOlder(const backend_announcement&) const;
+    void answerNotTaken(const backend_announcement&, heartbeat_verdict, const http_exchange_ptr&);
+    void logOrder(heartbeat_verdict, const backend_announcement&) const;
     void updateCurrent(const backend_announcement&);
     void discardCurrent();
     void closeNow();
@@ -80,8 +85,9 @@
     gate_service& m_gate;
     ownership& m_ownership;
     announcement_hooks m_hooks;
+    life_order m_lives;
     std::optional<backend_announcement> m_current;
-    /// From the row of an earlier process. Heartbeats of lives before this one are late.
+    /// From the row of an earlier process.
     std::optional<mesh_member> m_earlier;
     std::optional<early_departure> m_earlyDeparture;
     life_name m_recordedDeparture; ///< Life that the store shows as draining.
--- a/src/mesh/internal/member.cpp
+++ b/src/mesh/internal/member.cpp
@@ -12,11 +12,12 @@
 
 std::string toJson(const mesh_member& member)
 {
-    return json {
-        { "instance", member.node }, { "availability_zone", member.zone }, { "address", toString(member.address) },
-        { "service", member.service }, { "life", member.life }, { "backend_server", member.backendId },
-        { "slots", member.slots }, { "draining", member.isDraining }
-    }.dump();
+    json document { { "instance", member.node }, { "availability_zone", member.zone },
+        { "address", toString(member.address) }, { "service", member.service }, { "life", member.life },
+        { "backend_server", member.backendId }, { "slots", member.slots }, { "draining", member.isDraining } };
+    if (member.statedStart)
+        document["stated_start"] = *member.statedStart;
+    return document.dump();
 }
 
 result<mesh_member> parseMember(std::string_view text)
@@ -32,7 +33,11 @@
     reader.readHeaderText("backend_server", member.backendId);
     reader.readInteger("slots", member.slots, slotCounts);
     reader.readBool("draining", member.isDraining);
+    std::int64_t statedStart = -1;
+    reader.readInteger("stated_start", statedStart, { 0, INT64_MAX }, json_reader::presence::optional);
     BOOST_OUTCOME_TRY(reader.finish());
+    if (statedStart >= 0)
+        member.statedStart = statedStart;
     return member;
 }
 
--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -259,11 +259,13 @@
     if (const auto& current = m_announcements.current();
         current && (!m_announcements.hasEnded() || m_announcements.isLeaving())) {
         member.life = current->life();
+        member.statedStart = m_announcements.statedStart();
         member.backendId = current->id;
         member.slots = current->slots;
         member.isDraining = m_announcements.isLeaving();
     } else if (const auto* departed = m_announcements.departedEarlier()) {
         member.life = departed->life;
+        member.statedStart = departed->statedStart;
         member.backendId = departed->backendId;
         member.slots = departed->slots;
         member.isDraining = true;
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -124,6 +124,12 @@
     propose();
 }
 
+void ownership::discardLife()
+{
+    m_holdManager.forgetLife();
+    m_isDraining = false;
+}
+
 hold_grant ownership::grant(time_point receivedAt)
 {
     const auto before = m_holdManager.grantedCount();
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -82,6 +82,10 @@
     void handleHeartbeat(const backend_announcement&);
     /// The keys granted to the backend server, in response to its last heartbeat.
     hold_grant grant(time_point receivedAt);
+    /// The life of the last heartbeats was an earlier one, which the row of the earlier process shows.
+    void discardLife();
+    /// From this time on the present life holds no keys unless it is granted them again.
+    time_point holdsEnd() const { return m_holdManager.holdEnd(); }
     /// Called when the process of the backend server is certain to have ended.
     void onBackendEnded(const life_name&);
     /// Called when an earlier life of the backend server beside this node has ended. The present one takes over its
--- a/src/mesh/member.h
+++ b/src/mesh/member.h
@@ -4,6 +4,7 @@
 #include "base/identifiers.h"
 #include "ranges/range_map.h"
 
+#include <optional>
 #include <string>
 
 namespace heatherdrift {
@@ -16,10 +17,13 @@
     std::string zone;
     endpoint address; ///< Listener for requests from other nodes.
     std::string service;
-    life_name life; ///< Life of the backend server; empty before its first announcement.
+    /// Life of the backend server; empty before its first announcement. Later lives have later starts in their names.
+    life_name life;
     std::string backendId;
     int slots = 1;
     bool isDraining = false; ///< The backend server is shutting down and gets no new requests.
+    /// Start that the backend server states, if its clock was stepped and the name has a later one.
+    std::optional<std::int64_t> statedStart {};
 
     bool operator==(const mesh_member&) const = default;
 };
--- a/src/ranges/hold_manager.h
+++ b/src/ranges/hold_manager.h
@@ -77,7 +77,12 @@
     void startEra(time_point now);
     /// Switches to a new incarnation of the backend server; the previous one has ended.
     void startLife(const life_name&);
+    /// The present incarnation was not the present one: its heartbeat was late. Unlike after startLife(), holds that an
+    /// earlier process may have granted do not count as ended.
+    void forgetLife();
     const life_name& life() const { return m_life; }
+    /// From this time on the present incarnation holds no keys unless it is granted them again.
+    time_point holdEnd() const { return m_holdEnd; }
     time_point confirmedAt() const { return m_confirmedAt; }
 
     /// Processes a report of the current incarnation; reports must arrive in the order in which they were sent.
@@ -97,6 +102,7 @@
     std::size_t grantedCount() const { return m_granted.size(); }
 
 private:
+    void clearReports();
     time_point latestHoldEnd() const;
     duration holdDuration(time_point receivedAt) const;
     bool isHeld(key_range) const;
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -49,6 +49,18 @@
     if (!m_life.empty())
         m_holdEnd = m_serveEnd = time_point::min();
     m_life = life;
+    clearReports();
+}
+
+void hold_manager::forgetLife()
+{
+    m_life.clear();
+    m_serveEnd = time_point::min();
+    clearReports();
+}
+
+void hold_manager::clearReports()
+{
     m_granted.clear();
     m_previouslyGranted.clear();
     m_heldAtEraStart.clear();
