Charge what is allocated for bodies in chunks, and free bodies that are given up

Cause: a body in chunks was counted by the bytes that had arrived, while its buffer doubled and both buffers existed during the copy. Bodies that were given up were not freed: assigning an empty string keeps the allocated memory, so that it stayed until the connection ended. Freed buffers also stayed with the C library, which raises the size from which on it returns blocks to the kernel.

Change: a body in chunks grows by half of its size, and its capacity is charged before it is allocated, beside that of the earlier buffer until this one is freed. Given up and taken bodies are freed. An answer whose buffer is larger than its size is shrunk when it is whole; while it is received the three copies that are charged cover both buffers. Two metrics show the bytes of request bodies that a backend server has not answered, now and at most. They are not bounded: there is no figure for the memory of a backend server.

--- a/src/http/byte_budget.h
+++ b/src/http/byte_budget.h
@@ -44,6 +44,8 @@
 
     /// Returns false if the message has to be given up, since it is the largest one.
     bool grow(std::size_t bytes);
+    /// Gives bytes back that the message does not take any more.
+    void shrink(std::size_t bytes);
     /// The message is complete and is not given up any more.
     void complete();
     std::size_t bytes() const { return m_bytes; }
@@ -59,4 +61,8 @@
     std::size_t m_bytes = 0;
 };
 
+/// Makes the C library return the blocks of large bodies to the kernel when they are freed. Otherwise it keeps freed
+/// ones for later use, so that the process takes more than the budget counts. For the whole process.
+void releaseFreedBodies();
+
 } // namespace heatherdrift
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -58,6 +58,9 @@
     bool operator==(const http_response& other) const { return head == other.head && body == other.body; }
 };
 
+/// Frees the memory of a text. Assigning an empty one keeps it allocated.
+inline void freeText(std::string& text) { std::string().swap(text); }
+
 /// Whether two header names are the same.
 bool isSameHeaderName(std::string_view, std::string_view);
 
--- a/src/http/internal/byte_budget.cpp
+++ b/src/http/internal/byte_budget.cpp
@@ -3,8 +3,26 @@
 #include <algorithm>
 #include <utility>
 
+#ifdef __GLIBC__
+#include <malloc.h>
+#endif
+
 namespace heatherdrift {
 
+namespace {
+
+    constexpr int mappedBlockBytes = 128 * 1024; ///< The library's initial value.
+
+} // namespace
+
+void releaseFreedBodies()
+{
+#ifdef __GLIBC__
+    // Setting the threshold keeps the library from raising it to the size of each block that is freed.
+    mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+#endif
+}
+
 std::shared_ptr<byte_budget> byte_budget::create(std::size_t limitBytes)
 {
     return std::shared_ptr<byte_budget>(new byte_budget(limitBytes));
@@ -45,6 +63,12 @@
 
 bool byte_share::grow(std::size_t bytes) { return m_budget->take(*this, bytes); }
 
+void byte_share::shrink(std::size_t bytes)
+{
+    m_bytes -= bytes;
+    m_budget->m_usedBytes -= bytes;
+}
+
 void byte_share::complete()
 {
     m_onEvicted = nullptr;
--- a/src/http/internal/http_client.cpp
+++ b/src/http/internal/http_client.cpp
@@ -269,6 +269,8 @@
 
 namespace {
 
+    constexpr std::size_t excessDivisor = 8; ///< A smaller excess is not worth a copy of the body.
+
     /// Collects the answer to one request.
     class collected_answer : public std::enable_shared_from_this<collected_answer> {
     public:
@@ -314,7 +316,7 @@
                 return;
             const auto keepAlive = shared_from_this();
             const auto received = std::to_string(m_response.body.size());
-            m_response.body = std::string();
+            freeText(m_response.body);
             m_share = nullptr;
             if (const auto call = m_call.lock())
                 call->cancel();
@@ -326,6 +328,9 @@
         {
             if (how.has_error())
                 return m_done(how.error());
+            // The copies of the body that are counted have its size, while it may have been allocated twice that.
+            if (m_response.body.capacity() > m_response.body.size() + m_response.body.size() / excessDivisor)
+                m_response.body.shrink_to_fit();
             if (m_share)
                 m_share->complete();
             m_response.memory = std::move(m_share);
--- a/src/http/internal/server_connection.cpp
+++ b/src/http/internal/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/internal/server_exchange.h"
 
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace heatherdrift {
@@ -11,6 +12,8 @@
     /// Bytes that a client may send ahead of the answers to its requests.
     constexpr std::size_t pipelinedBytes = 64 * 1024;
     constexpr std::size_t minCountedBytes = 16 * 1024; ///< Smaller bodies do not count against the memory for bodies.
+    /// A body in chunks grows by this part of its size at a time.
+    constexpr std::size_t bodyGrowthDivisor = 2;
     constexpr int statusBadRequest = 400;
     constexpr int statusTooLarge = 413;
     constexpr int statusHeadTooLarge = 431;
@@ -83,7 +86,7 @@
 
 bool server_connection::acceptHead()
 {
-    m_body = std::string();
+    freeText(m_body);
     m_memory = nullptr;
     const auto announced = m_parser.announcedLength();
     m_isBodyTooLarge = announced > m_context->limits.bodyBytes;
@@ -120,16 +123,35 @@
         return;
     }
     // The memory for a body of announced length was taken with its head.
-    const bool isCounted = m_parser.announcedLength() == 0 && size >= minCountedBytes;
-    if (!isCounted || takeMemory(m_memory ? part.size() : size))
+    if (m_parser.announcedLength() > 0 || growBody(size))
         m_body.append(part);
 }
 
+/// Makes room for a body in chunks. What is allocated counts, not what has arrived, and while the bytes are copied both
+/// the earlier and the larger buffer exist.
+bool server_connection::growBody(std::size_t size)
+{
+    const auto earlier = m_body.capacity();
+    if (size <= earlier)
+        return true;
+    const auto capacity = std::min(std::max(size, earlier + earlier / bodyGrowthDivisor), m_context->limits.bodyBytes);
+    if (capacity >= minCountedBytes && !takeMemory(capacity))
+        return false;
+    std::string larger;
+    larger.reserve(capacity);
+    larger.append(m_body);
+    m_body.swap(larger);
+    freeText(larger);
+    if (m_memory && earlier >= minCountedBytes)
+        m_memory->shrink(earlier);
+    return true;
+}
+
 void server_connection::giveBodyUp()
 {
     m_isBodyGivenUp = true;
     m_memory = nullptr;
-    m_body = std::string();
+    freeText(m_body);
     // Another connection has needed the memory; otherwise the parser's caller rejects the request.
     if (!m_isParsing)
         rejectUnreadable();
@@ -143,7 +165,7 @@
         m_memory->complete();
     http_request request { std::string(m_parser.method()), m_parser.target(), std::move(m_parser.headers()),
         message_body(std::move(m_body), std::move(m_memory)) };
-    m_body = std::string();
+    freeText(m_body);
     auto exchange = std::make_shared<server_exchange>(
         shared_from_this(), std::move(request), std::exchange(m_isFirstRequest, false), m_parser.keepsAlive());
     m_exchanges.push_back(exchange);
--- a/src/http/internal/server_connection.h
+++ b/src/http/internal/server_connection.h
@@ -59,6 +59,7 @@
     /// Whether there is memory for more bytes of the body.
     bool takeMemory(std::size_t bytes);
     void appendToBody(std::string_view);
+    bool growBody(std::size_t size);
     void giveBodyUp();
     void rejectUnreadable();
     void reject(int status, http_headers);
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -121,7 +121,7 @@
     const bool needsHead = !std::exchange(m_isHeadTaken, true);
     std::string text = needsHead ? head(closesConnection) : std::string();
     text.append(m_output);
-    m_output = std::string();
+    freeText(m_output);
     return text;
 }
 
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -257,6 +257,16 @@
     entry.call = fetchOwn(*m_client, std::move(message), entry.request.deadline, answerMemory(m_memory),
         { originOf, entry.request.id },
         [this, id](result<http_response> response) { handleResponse(id, std::move(response)); });
+    if (!entry.request.message.body.empty())
+        m_mostBytesAtBackend = std::max(m_mostBytesAtBackend, bytesAtBackend());
+}
+
+std::size_t gate_service::bytesAtBackend() const
+{
+    std::size_t bytes = 0;
+    for (const auto& [id, entry] : m_requests)
+        bytes += entry.call ? entry.request.message.body.size() : 0;
+    return bytes;
 }
 
 void gate_service::handleResponse(request_number id, result<http_response> response)
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -82,6 +82,10 @@
     const std::shared_ptr<byte_budget>& memory() const { return m_memory; }
     const key_load& keyLoad() const { return m_keyLoad; }
     std::size_t inProgress() const { return m_requests.size(); }
+    /// Bytes of the bodies of the requests that the backend server has been given and has not answered.
+    std::size_t bytesAtBackend() const;
+    /// The most of them at the same time, since the start of the process.
+    std::size_t mostBytesAtBackend() const { return m_mostBytesAtBackend; }
 
 private:
     struct gate_request {
@@ -132,6 +136,7 @@
     stated_load m_statedLoad;
     std::map<request_number, gate_request> m_requests;
     request_number m_lastNumber = 0;
+    std::size_t m_mostBytesAtBackend = 0;
     timer m_sweep;
     std::size_t m_awaitingKeys = 0;
 };
--- a/src/mesh/internal/mesh_metrics.cpp
+++ b/src/mesh/internal/mesh_metrics.cpp
@@ -18,6 +18,10 @@
     , m_load(m_registry.gauge("heatherdrift_gate_load", "Share of the slots in use or waited for."))
     , m_demand(m_registry.gauge("heatherdrift_gate_demand", "Slots that the keys need, per slot."))
     , m_waiting(m_registry.gauge("heatherdrift_gate_in_progress", "Requests that wait or run at the gate."))
+    , m_bytesAtBackend(m_registry.gauge("heatherdrift_gate_backend_bytes",
+          "Bytes of the bodies of requests that the backend server has not answered."))
+    , m_mostBytesAtBackend(m_registry.gauge(
+          "heatherdrift_gate_backend_bytes_most", "The most of them at the same time since the start of the process."))
 {
 }
 
@@ -81,6 +85,12 @@
     m_waiting.Set(static_cast<double>(inProgress));
 }
 
+void mesh_metrics::bytesAtBackend(std::size_t now, std::size_t most)
+{
+    m_bytesAtBackend.Set(static_cast<double>(now));
+    m_mostBytesAtBackend.Set(static_cast<double>(most));
+}
+
 counting_store::counting_store(std::unique_ptr<watched_store> store, mesh_metrics& metrics)
     : m_store(std::move(store))
     , m_metrics(metrics)
--- a/src/mesh/internal/mesh_metrics.h
+++ b/src/mesh/internal/mesh_metrics.h
@@ -22,6 +22,8 @@
     /// How late the event loop ran a timer.
     void loopLag(duration);
     void gateLoad(double load, double demand, std::size_t waiting);
+    /// Bytes of the bodies of requests that the backend server has and has not answered.
+    void bytesAtBackend(std::size_t now, std::size_t most);
 
     std::string text() const { return m_registry.text(); }
 
@@ -35,6 +37,8 @@
     prometheus::Gauge& m_load;
     prometheus::Gauge& m_demand;
     prometheus::Gauge& m_waiting;
+    prometheus::Gauge& m_bytesAtBackend;
+    prometheus::Gauge& m_mostBytesAtBackend;
 };
 
 /// Records metrics of the calls to a store.
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -358,6 +358,7 @@
                 return exchange->respond({ { statusNotFound, {} }, "" });
             const auto load = m_gate.load();
             m_metrics.gateLoad(load.load, load.demand, m_gate.inProgress());
+            m_metrics.bytesAtBackend(m_gate.bytesAtBackend(), m_gate.mostBytesAtBackend());
             exchange->respond({ { 200, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_metrics.text() });
         }
 
--- a/src/mesh/tests/request_path_test.cpp
+++ b/src/mesh/tests/request_path_test.cpp
@@ -106,6 +106,21 @@
         EXPECT_FALSE(lastRequest.headers.find("heatherdrift-verdict"));
     }
 
+    // Guards against uploads that end a backend server for its memory without a figure that shows it.
+    TEST_F(RequestPathTest, BytesThatTheBackendServerHoldsAreCounted)
+    {
+        configure(true);
+        std::size_t during = 0;
+        onRequest = [&](http_exchange_ptr exchange) {
+            during = gate->bytesAtBackend();
+            exchange->respond(signedAnswer(200, "whole"));
+        };
+        fetch();
+        EXPECT_EQ(during, 4u);
+        EXPECT_EQ(gate->bytesAtBackend(), 0u);
+        EXPECT_EQ(gate->mostBytesAtBackend(), 4u);
+    }
+
     // Guards against a 404 response by a node that has no configuration yet.
     TEST_F(RequestPathTest, WithoutAConfigurationRequestsAreRefused)
     {
