Let the test of trials wake its event loop

CrashExchangeTest.EachTrialOnTheSameBackendServerDelaysTheNextOne hung once in a run of all tests beside other load: it waits for the end of a refusal, which is no event, and the messages between the nodes had ended before, so that the loop waited for ever. A repeating timer wakes it; the checks are the same.

--- a/src/mesh/tests/crash_exchange_test.cpp
+++ b/src/mesh/tests/crash_exchange_test.cpp
@@ -172,6 +172,9 @@
         node.suspects = crash_suspects({ .firstTrialDelay = delay });
         for (int i = 0; i < 3; ++i)
             node.exchange->onCrash({ "life-" + std::to_string(i), { lethal } });
+        timer tick(
+            loop.base(), [] {}); // The end of a refusal is no event, so the loop would wait for ever without one.
+        tick.startRepeating(std::chrono::milliseconds(5));
         for (int trial = 0; trial < 3; ++trial) {
             loop.runUntil([&] { return !isRefused(node, lethal); });
             node.exchange->onRun(lethal, "life-3");
