--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -292,7 +292,7 @@
 std::optional<gate_answer> gate_service::refusalForCalls(gate_request& entry, time_point now)
 {
     // A request that has waited for its key was let through before.
-    if (entry.calls)
+    if (!m_settings.scheduling.limitsCalls || entry.calls)
         return std::nullopt;
     entry.calls = m_nested.admit(entry.request.route, priorityOf(entry), now);
     if (entry.calls->isAdmitted)
--- a/src/mesh/tests/nested_request_test.cpp
+++ b/src/mesh/tests/nested_request_test.cpp
@@ -17,6 +17,7 @@
             settings.service = "s";
             settings.backend = server->address();
             settings.scheduling.ranksByCaller = ranksByCaller;
+            settings.scheduling.limitsCalls = ranksByCaller;
             gate_hooks hooks { [](key_number) { return key_access::serve; }, [] { return std::int64_t { 0 }; },
                 [] { return std::optional<table_statements>(); }, [] {} };
             hooks.statuses = [this](const std::string&, time_point) { return statuses; };
--- a/src/settings/internal/mesh_settings.cpp
+++ b/src/settings/internal/mesh_settings.cpp
@@ -28,6 +28,7 @@
         constexpr auto optional = json_reader::presence::optional;
         json_reader reader(value, path, error_code::invalid_settings);
         reader.readBool("rank_by_caller", settings.ranksByCaller, optional);
+        reader.readBool("limit_calls", settings.limitsCalls, optional);
         reader.readBool("completion_time", settings.usesCompletionTime, optional);
         reader.readBool("return_times", settings.plansReturns, optional);
         reader.readNumber("hedge_share", settings.hedgeShare, 0, maxHedgeShare, optional);
--- a/src/settings/mesh_settings.h
+++ b/src/settings/mesh_settings.h
@@ -9,6 +9,7 @@
 /// Decisions that a node makes only where its deployment asks for them.
 struct scheduling_settings {
     bool ranksByCaller = false; ///< Nested requests rank as the requests that they are made for.
+    bool limitsCalls = false; ///< Refuses requests whose nested calls would find no capacity.
     bool usesCompletionTime = false; ///< Picks the backend server that is expected to answer first.
     bool plansReturns = false; ///< Refused callers are told times at which there is room for them.
     double hedgeShare = 0; ///< Most repeated requests against slow answers, as a share of the requests; 0: none.
--- a/src/settings/tests/mesh_settings_test.cpp
+++ b/src/settings/tests/mesh_settings_test.cpp
@@ -46,9 +46,9 @@
     {
         auto document = nlohmann::json::parse(valid);
         EXPECT_EQ(parseMeshSettings(document.dump()).value().scheduling, scheduling_settings());
-        document["scheduling"] = { { "rank_by_caller", true }, { "completion_time", true }, { "return_times", true },
-            { "hedge_share", 0.05 }, { "evacuation_ms", 5000 } };
-        const scheduling_settings all { true, true, true, 0.05, std::chrono::seconds(5) };
+        document["scheduling"] = { { "rank_by_caller", true }, { "limit_calls", true }, { "completion_time", true },
+            { "return_times", true }, { "hedge_share", 0.05 }, { "evacuation_ms", 5000 } };
+        const scheduling_settings all { true, true, true, true, 0.05, std::chrono::seconds(5) };
         EXPECT_EQ(parseMeshSettings(document.dump()).value().scheduling, all);
     }
 
