Soak of nodes on the users' platform with cold servers and evacuations

The soak ran heatherdriftd only, which has none of the parts for uneven servers and limited capacity.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -55,3 +55,32 @@
     if len(lines) > 1 and is_own_id and lines[1] == f"key: {key}":
         return None
     return f"the call for {key} ({request_id}) got another answer: {lines[:2]}"
+
+
+def cold_overruns(arrivals, cold_times, most):
+    """A finding for each time in which a backend server was cold and got more than `most` requests in a sliding second.
+
+    arrivals: seconds, ascending; cold_times: pairs of seconds.
+    """
+    findings = []
+    for start, end in cold_times:
+        times = [time for time in arrivals if start <= time <= end]
+        first, count, at = 0, 0, 0
+        for last, time in enumerate(times):
+            while times[first] <= time - 1:
+                first += 1
+            if last - first + 1 > count:
+                count, at = last - first + 1, time
+        if count > most:
+            findings.append(f"cold from {start:.3f} s to {end:.3f} s, got {count} requests in the second before {at:.3f}")
+    return findings
+
+
+def late_in_zone(arrivals, evacuations):
+    """Requests at a backend server of an evacuated zone. evacuations: (end of the time to comply, withdrawal)."""
+    findings = []
+    for start, end in evacuations:
+        late = [time for time in arrivals if start < time < end]
+        if late:
+            findings.append(f"{len(late)} requests from {late[0] - start:.3f} s after the time for the evacuation on")
+    return findings
--- a/soak/test_checks.py
+++ b/soak/test_checks.py
@@ -37,6 +37,17 @@
         self.assertIsNone(checks.wrong_answer("k", None, b"id: s.1\nkey: k\n"))
         self.assertIsNone(checks.wrong_answer("k", "r", b"id: r.2\nkey: k\nchecksum: 0\n"))
 
+    def test_cold_server_with_too_many_requests(self):
+        burst = [5.0, 5.2, 5.4, 5.99]
+        self.assertTrue(checks.cold_overruns(burst, [(4, 8)], 3))
+        self.assertFalse(checks.cold_overruns(burst, [(4, 8)], 4))
+        self.assertFalse(checks.cold_overruns([5.0, 5.2, 5.4, 6.0], [(4, 8)], 3))
+        self.assertFalse(checks.cold_overruns(burst, [(5.1, 8)], 3))
+
+    def test_request_in_an_evacuated_zone(self):
+        self.assertTrue(checks.late_in_zone([1, 6.5, 9], [(6, 8)]))
+        self.assertFalse(checks.late_in_zone([1, 6, 9], [(6, 8)]))
+
 
 if __name__ == "__main__":
     unittest.main()
