--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -156,7 +156,7 @@
 {
     const auto& scheduling = m_settings.scheduling;
     const bool isUsed
-        = m_statedLoad.last() || m_health.hasLimit() || scheduling.ranksByCaller || scheduling.usesCompletionTime;
+        = m_statedLoad.last() || m_health.hasLimit() || scheduling.limitsCalls || scheduling.usesCompletionTime;
     if (!isUsed)
         return std::nullopt;
     server_status status;
