Explain where a request would be sent, and why

Cause: an operator cannot see what a node would choose now. Logs tell about refused and failed requests only, and metrics tell nothing about one request.

Change: GET /explain on the metrics listener of a node answers with JSON, and heatherdriftctl explain prints it on one screen: route, configuration version, range and owners of a key or the candidates of a request without one, and the choice or the refusal with its reason and Retry-After. Invalid input is answered with 400 and the reason. The page is built from read access only. The share of the picks that each server gets is sampled on a copy of the load view with random numbers of its own, so that the next pick stays the same. The reader of query parameters moves from src/node to src/http, since both listeners use it.

--- a/src/admission/internal/load_view.cpp
+++ b/src/admission/internal/load_view.cpp
@@ -226,13 +226,22 @@
         m_statusesUntil = std::max(m_statusesUntil, one.completion.currentUntil());
 }
 
+duration load_view::usualWait(std::size_t urgency, time_point now) const
+{
+    return fromSeconds(m_poolWaits[urgency].value(0, now));
+}
+
 // A server whose service time is not known counts as faster than usual, so that it is tried.
-double load_view::completionCost(const server& one, std::size_t urgency, time_point now) const
+duration load_view::expectedCompletion(const server& one, std::size_t urgency, time_point now) const
 {
     const double usual = m_poolService.value(m_poolLatency.value(priorLatency, now), now);
     const auto service = fromSeconds(one.latency.value(usual * unknownShare, now));
-    const auto wait = fromSeconds(m_poolWaits[urgency].value(0, now));
-    return inSeconds(one.completion.completion(urgency, now, wait, service)) * (1 + unansweredShare * one.inFlight)
+    return one.completion.completion(urgency, now, usualWait(urgency, now), service);
+}
+
+double load_view::completionCost(const server& one, std::size_t urgency, time_point now) const
+{
+    return inSeconds(expectedCompletion(one, urgency, now)) * (1 + unansweredShare * one.inFlight)
         * penalties(one, now);
 }
 
--- a/src/admission/load_view.h
+++ b/src/admission/load_view.h
@@ -5,6 +5,7 @@
 #include "admission/random_function.h"
 #include "admission/slow_start.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -66,6 +67,23 @@
     bool operator==(const named_status&) const = default;
 };
 
+/// What a pick at one time knows of a server.
+struct server_assessment {
+    server_condition condition = server_condition::in_service;
+    bool isReportedUnhealthy = false; ///< Picked only if no other server is left.
+    bool isCold = false; ///< By its last status.
+    bool isInTime = true; ///< Expected to answer in time.
+    std::optional<status_report> status {}; ///< The last one, of any age.
+    duration expectedWait {}; ///< Until it starts a request of this urgency level.
+    duration expectedCompletion {}; ///< Until it answers the request.
+    std::optional<duration> serviceTime {}; ///< Slowdown included; empty if it has stated none recently.
+    double cost = 0; ///< Expected latency in seconds, with penalties; the pick prefers lower ones.
+    int callsInProgress = 0; ///< Of this node.
+    double slowStartShare = 1; ///< Of its full share of calls.
+
+    bool operator==(const server_assessment&) const = default;
+};
+
 /// Picks a backend server of a pool for calls that need no key ownership. While statuses of servers are known, it picks
 /// by the expected time of completion; designed for 66 entry nodes with 10 to 20 calls per second each and for servers
 /// whose speed differs and changes several times per second.
@@ -101,6 +119,13 @@
     /// cold servers, which hold for longer.
     std::vector<named_status> statuses(std::size_t count, const instance_id& except, time_point now) const;
     std::size_t knownStatuses(time_point now) const;
+    /// Whether a pick compares expected completions; otherwise it compares costs.
+    bool usesStatuses(time_point now) const { return now <= m_statusesUntil; }
+    /// Empty if there is no such server.
+    std::optional<server_assessment> assess(const instance_id&, const pick_options&, time_point now) const;
+    /// Share of the picks at this time that each server gets, from samples of a copy with random numbers of its own.
+    /// Servers that are never picked are left out.
+    std::map<instance_id, double> pickShares(const pick_options&, int samples, time_point now) const;
     server_condition condition(const instance_id& id, time_point now) const { return m_outliers.condition(id, now); }
 
 private:
@@ -121,8 +146,9 @@
     double costOf(const server&, time_point now) const;
     /// Expected seconds until the answer, with penalties for failures and refusals.
     double completionCost(const server&, std::size_t urgency, time_point now) const;
+    duration expectedCompletion(const server&, std::size_t urgency, time_point now) const;
+    duration usualWait(std::size_t urgency, time_point now) const;
     double penalties(const server&, time_point now) const;
-    bool usesStatuses(time_point now) const { return now <= m_statusesUntil; }
     std::optional<instance_id> pickByCompletion(const pick_options&, time_point now);
     bool isInTime(const server&, const pick_options&, time_point now) const;
     std::optional<position> drawInTime(const pick_options&, time_point now);
--- a/src/ctl/internal/command.h
+++ b/src/ctl/internal/command.h
@@ -53,6 +53,7 @@
 exit_code runDeclareLost(const command_context&);
 exit_code runRequest(const command_context&);
 exit_code runEvents(const command_context&);
+exit_code runExplain(const command_context&);
 
 /// Columns of equal width. Rows have as many cells as the header.
 void printTable(std::ostream&, std::vector<std::vector<std::string>> rowsWithHeader);
--- a/src/ctl/internal/ctl.cpp
+++ b/src/ctl/internal/ctl.cpp
@@ -41,6 +41,11 @@
         { "events", "", 0, 0,
             "Prints the recent log events of a node and follows them, without end unless --timeout is given.",
             { "follow", "after" }, true, &runEvents, absl::InfiniteDuration() },
+        { "explain", "", 0, 0,
+            "Prints where a node would send a request now, and why; nothing is sent. --node names the metrics address "
+            "of "
+            "the node.",
+            { "host", "path", "key", "method" }, true, &runExplain },
     };
     return table;
 }
--- a/src/ctl/internal/ctl_flags.cpp
+++ b/src/ctl/internal/ctl_flags.cpp
@@ -17,6 +17,9 @@
 ABSL_FLAG(uint64_t, after, 0, "Print only events with a higher sequence.");
 ABSL_FLAG(std::vector<std::string>, entry, {}, "Entry addresses IP:PORT; without them, those that --node names.");
 ABSL_FLAG(std::string, key, "", "Key of the request.");
+ABSL_FLAG(std::string, host, "", "Host of the request.");
+ABSL_FLAG(std::string, path, "", "Path of the request.");
+ABSL_FLAG(std::string, method, "GET", "Method of the request.");
 ABSL_FLAG(std::string, labels, "", "Labels of the request: name=value,name=value.");
 ABSL_FLAG(std::string, customer, "", "Customer of the request.");
 ABSL_FLAG(std::string, body, "", "Body of the request.");
--- a/src/ctl/tests/arguments_test.cpp
+++ b/src/ctl/tests/arguments_test.cpp
@@ -30,6 +30,11 @@
             { "declare-lost", "a-1", "--node=127.0.0.1:1" },
             { "request", "no-slash", "--node=127.0.0.1:1" },
             { "request", "/x", "--entry=x", "--node=127.0.0.1:1" },
+            { "explain", "--host=h", "--path=/x" },
+            { "explain", "--path=/x", "--node=127.0.0.1:1" },
+            { "explain", "--host=h", "--path=x", "--node=127.0.0.1:1" },
+            { "explain", "x", "--host=h", "--path=/x", "--node=127.0.0.1:1" },
+            { "explain", "--host=h", "--path=/x", "--body=b", "--node=127.0.0.1:1" },
         };
         for (const auto& arguments : table) {
             const auto result = run(arguments);
--- a/src/node/internal/admin_query.cpp
+++ b/src/http/internal/query_reader.cpp
@@ -1,4 +1,4 @@
-#include "node/internal/admin_query.h"
+#include "http/query_reader.h"
 
 #include <charconv>
 #include <event2/http.h>
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -66,6 +66,12 @@
     return *view;
 }
 
+const load_view* mesh_directory::findView(const std::string& service) const
+{
+    const auto found = m_views.find(service);
+    return found == m_views.end() ? nullptr : found->second.get();
+}
+
 void mesh_directory::update(const mesh_member& member, time_point now)
 {
     std::erase_if(m_retired, [](const auto& client) { return client->idleCount() == client->connectionCount(); });
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -69,6 +69,8 @@
     http_client& client(const instance_id&);
     /// Load balancer for the backend servers of a service that is not partitioned.
     load_view& view(const std::string& service);
+    /// Null if there is none yet.
+    const load_view* findView(const std::string& service) const;
 
     status_exchange& statuses() { return m_statuses; }
     /// Number of backend servers of each service without keys whose status is known and recent.
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -1,7 +1,9 @@
 #include "mesh/mesh_node.h"
 
 #include "base/hash.h"
+#include "http/query_reader.h"
 #include "mesh/internal/announcement_service.h"
+#include "mesh/internal/choice_explanation.h"
 #include "mesh/internal/crash_exchange.h"
 #include "mesh/internal/entry_service.h"
 #include "mesh/internal/forward_handler.h"
@@ -328,8 +330,29 @@
                         { "at_gate", std::to_string(m_gate.inProgress()) } });
         }
 
+        /// The range map as this node holds it; fetches nothing.
+        std::optional<versioned_ranges> knownMap(const std::string& service) const
+        {
+            if (service == m_settings.service)
+                return m_ownership.version() > 0
+                    ? std::optional(versioned_ranges { m_ownership.version(), m_ownership.map() })
+                    : std::nullopt;
+            const auto* known = m_replicas.known(service);
+            return known ? std::optional(*known) : std::nullopt;
+        }
+
+        http_response explain(const http_request& request) const
+        {
+            const choice_context context { m_settings, m_port, m_routes, m_directory,
+                [this](const std::string& service) { return knownMap(service); },
+                [this] { return m_tables.configurationWait(); }, m_isStopping ? m_endsAt : time_point::max() };
+            return answerQuestion(context, request, boot_clock::now());
+        }
+
         void handleMetrics(const http_exchange_ptr& exchange)
         {
+            if (pathOf(exchange->request().target) == explainPath)
+                return exchange->respond(explain(exchange->request()));
             if (exchange->request().target != metricsPath)
                 return exchange->respond({ { statusNotFound, {} }, "" });
             const auto load = m_gate.load();
--- a/src/mesh/internal/range_replicas.cpp
+++ b/src/mesh/internal/range_replicas.cpp
@@ -27,6 +27,12 @@
     return nullptr;
 }
 
+const versioned_ranges* range_replicas::known(const std::string& service) const
+{
+    const auto found = m_maps.find(service);
+    return found == m_maps.end() ? nullptr : &found->second;
+}
+
 void range_replicas::refresh(const std::string& service, time_point now)
 {
     auto& mayRefreshAt = m_mayRefreshAt[service];
--- a/src/mesh/internal/range_replicas.h
+++ b/src/mesh/internal/range_replicas.h
@@ -17,6 +17,8 @@
 
     /// Null if there is no copy yet; a fetch is started then.
     const range_map* find(const std::string& service, time_point now);
+    /// Null if there is no copy yet; nothing is fetched.
+    const versioned_ranges* known(const std::string& service) const;
     /// Fetches the map again because no owner in the copy is reachable. Successive calls ask the nodes in turn.
     void refresh(const std::string& service, time_point now);
     /// Fetches the map from this node of the service if the given version is newer than the copy.
--- a/src/mesh/tests/mesh_node_test.cpp
+++ b/src/mesh/tests/mesh_node_test.cpp
@@ -1,3 +1,4 @@
+#include "base/json_reader.h"
 #include "http/tests/raw_peers.h"
 #include "mesh/internal/crash_exchange.h"
 #include "mesh/internal/member_registry.h"
@@ -190,6 +191,46 @@
         EXPECT_EQ(statusOf(owner->settings().forward, "/"), 421);
     }
 
+    // Guards against an explanation of another choice than the node makes, and against one that sends a request or
+    // fetches a range map.
+    TEST_F(MeshNodeTest, MetricsListenerExplainsWhereARequestIsSent)
+    {
+        int fetches = 0;
+        const auto foreign = loop.listen([&](const http_exchange_ptr& exchange) {
+            fetches += exchange->request().target == range_replicas::target;
+            exchange->respond({ { 503, {} }, "" });
+        });
+        addForeignNode(foreign->address());
+        current.services.back().isPartitioned = true;
+        startNodes();
+        const auto explain = [&](const std::string& query) {
+            const auto answer
+                = loop.fetch(entry->settings().metrics, { "GET", "/explain?path=/x&host=" + query, {}, "" }).value();
+            return std::pair(answer.head.status, json::parse(answer.body));
+        };
+        const auto page = explain("h").second;
+        EXPECT_EQ(page["node"], "entry");
+        EXPECT_EQ(page["configuration_version"], 1);
+        EXPECT_EQ(page["route"]["name"], "r-s");
+        EXPECT_EQ(page["candidates"].size(), 1u);
+        EXPECT_EQ(page["decision"]["node"], "owner");
+        EXPECT_EQ(
+            explain("nowhere").second["decision"]["status"], mesh_fixture::send(*entry, "nowhere", "/x").head.status);
+
+        const auto keyed = explain("foreign&key=7").second;
+        EXPECT_EQ(keyed["service"]["name"], "foreign");
+        EXPECT_EQ(keyed["range"], nullptr);
+        EXPECT_EQ(keyed["decision"]["outcome"], "refuse");
+        EXPECT_EQ(explain("h&key=x").first, 400);
+        EXPECT_TRUE(runs.empty());
+        EXPECT_EQ(fetches, 0);
+        EXPECT_EQ(mesh_fixture::send(*entry, "foreign", "/x", "GET", { { "key", "7" } }).head.status,
+            keyed["decision"]["status"]);
+        EXPECT_GT(fetches, 0) << "a request fetches the map";
+        EXPECT_EQ(send("/x", "GET").head.status, 200);
+        EXPECT_EQ(runs.size(), 1u);
+    }
+
     // Guards against running forwarded requests that the entry node cancelled while the gate's process was paused.
     TEST_F(MeshNodeTest, ForwardedRequestThatWasCancelledBeforeItWasReadDoesNotRun)
     {
--- a/src/node/internal/admin_service.cpp
+++ b/src/node/internal/admin_service.cpp
@@ -1,7 +1,7 @@
 #include "node/admin_service.h"
 
+#include "http/query_reader.h"
 #include "node/internal/admin_documents.h"
-#include "node/internal/admin_query.h"
 #include "routing/call.h"
 #include "telemetry/log_event.h"
 
--- a/src/routes/internal/route_table.cpp
+++ b/src/routes/internal/route_table.cpp
@@ -43,20 +43,31 @@
 {
     if (entry.services.size() == 1)
         return entry.services.front().service;
-    // Smooth weighted round robin: a random choice would deviate from the weights over short sequences.
-    auto& state = m_splits[entry.name];
-    if (state.services != entry.services) {
-        state.services = entry.services;
-        state.credits.assign(entry.services.size(), 0);
+    return entry.services[m_splits[entry.name].pickNext(entry.services)].service;
+}
+
+const std::string& route_table::nextService(const route& entry) const
+{
+    const auto found = m_splits.find(entry.name);
+    auto copy = found == m_splits.end() ? split_state() : found->second;
+    return entry.services[copy.pickNext(entry.services)].service;
+}
+
+// Smooth weighted round robin: a random choice would deviate from the weights over short sequences.
+std::size_t route_table::split_state::pickNext(const std::vector<service_share>& present)
+{
+    if (services != present) {
+        services = present;
+        credits.assign(present.size(), 0);
     }
     double total = 0;
-    for (std::size_t i = 0; i < state.credits.size(); ++i) {
-        state.credits[i] += entry.services[i].weight;
-        total += entry.services[i].weight;
+    for (std::size_t i = 0; i < credits.size(); ++i) {
+        credits[i] += present[i].weight;
+        total += present[i].weight;
     }
-    const auto best = std::ranges::max_element(state.credits);
+    const auto best = std::ranges::max_element(credits);
     *best -= total;
-    return entry.services[static_cast<std::size_t>(best - state.credits.begin())].service;
+    return static_cast<std::size_t>(best - credits.begin());
 }
 
 } // namespace heatherdrift
--- a/src/routes/route_table.h
+++ b/src/routes/route_table.h
@@ -22,11 +22,16 @@
     const service_definition* service(const std::string& name) const;
     /// Selects the service for the next request, so that each gets its share also over short sequences of requests.
     const std::string& pickService(const route&);
+    /// The service that the next request would get.
+    const std::string& nextService(const route&) const;
 
 private:
     struct split_state {
         std::vector<service_share> services;
         std::vector<double> credits;
+
+        /// Returns the index of the service.
+        std::size_t pickNext(const std::vector<service_share>& present);
     };
 
     route_configuration m_configuration;
