--- a/src/gate/internal/slot_queue.cpp
+++ b/src/gate/internal/slot_queue.cpp
@@ -139,16 +139,17 @@
 
 bool slot_queue::mayBeOvertaken(const queued_request& request) const
 {
-    return m_settings.ranksByCaller || !request.isNested;
+    return !request.isReturn && (m_settings.ranksByCaller || !request.isNested);
 }
 
 bool slot_queue::precedes(const queued_request& left, const queued_request& right, time_point now) const
 {
     const auto rank = [&](const queued_request& request) {
-        const bool isAfterObjective = isLate(request, now);
+        // An earlier refusal has made a return late. It took no more than the share of the capacity kept for returns.
+        const bool isAfterObjective = !request.isReturn && isLate(request, now);
         const int isOther = request.isNested ? 0 : 1;
         return std::tuple(m_settings.ranksByCaller ? request.priority : isOther,
-            m_settings.ranksByCaller ? isOther : request.priority, isAfterObjective,
+            m_settings.ranksByCaller ? isOther : request.priority, !request.isReturn, isAfterObjective,
             isAfterObjective ? request.deadline : request.objective, request.id);
     };
     return rank(left) < rank(right);
@@ -161,14 +162,32 @@
         if (precedes(other, request, now))
             ahead.push_back({ other.callHeight, serviceTime(other.kind) });
     }
+    addExpectedReturns(request, ahead, now);
     return ahead;
 }
 
+void slot_queue::addExpectedReturns(
+    const queued_request& request, std::vector<waiting_share>& ahead, time_point now) const
+{
+    if (!m_expectedReturns || request.isReturn || request.isNested)
+        return;
+    const auto queued = ahead.size();
+    // More returns are due within the wait for the first ones; a longer wait than this one is not worth it anyway.
+    constexpr int rounds = 4;
+    for (int round = 0; round < rounds; ++round) {
+        const auto start = now + expectedWaitBehind(ahead, request.callHeight);
+        const auto due = queued + m_expectedReturns(request.priority, start);
+        if (due <= ahead.size())
+            return;
+        ahead.resize(due, { 0, m_meanServiceTime });
+    }
+}
+
 std::size_t slot_queue::rankOf(const queued_request& request, time_point now) const
 {
     if (request.isNested && !m_settings.ranksByCaller)
         return 0;
-    return 1 + 2 * urgencyLevel(request.priority) + (isLate(request, now) ? 1U : 0U);
+    return 1 + 2 * urgencyLevel(request.priority) + (!request.isReturn && isLate(request, now) ? 1U : 0U);
 }
 
 time_point slot_queue::expectedLimitedEnd(
@@ -213,7 +232,7 @@
             waiting.set(rankOf(request, now));
         return m_overtaking.record(rankOf(next, now), waiting);
     }
-    const bool isOvertaking = !isLate(next, now);
+    const bool isOvertaking = next.isReturn || !isLate(next, now);
     const bool isLateWaiting = std::ranges::any_of(
         m_waiting, [&](const auto& request) { return isLate(request, now) && mayBeOvertaken(request); });
     if (isLateWaiting)
@@ -226,6 +245,10 @@
         return isWorthWaitingForStart(request, now);
     const auto needed = serviceTime(request.kind);
     const auto wait = expectedWaitBehind(waitingAhead(request, now), request.callHeight);
+    // The capacity was kept for it, and nothing of its priority overtakes it.
+    if (request.isReturn)
+        return now + std::chrono::duration_cast<duration>(wait / shareLeftTo(request.priority)) + needed
+            <= request.deadline;
     const auto end = now + std::chrono::duration_cast<duration>(wait / shareLeftTo(request.priority)) + needed;
     if (end + std::chrono::duration_cast<duration>(needed * serviceTimeMargin) <= request.objective)
         return true;
--- a/src/gate/slot_queue.h
+++ b/src/gate/slot_queue.h
@@ -27,6 +27,8 @@
     time_point objective {}; ///< Latency objective: an answer should be sent by then.
     time_point deadline {}; ///< A later answer is useless to the caller.
     int callHeight = 0; ///< Levels of nested calls that it causes; see slot_reservation.
+    /// Was refused before and came back at the time that was assigned to it.
+    bool isReturn = false;
 
     bool operator==(const queued_request&) const = default;
 };
@@ -50,10 +52,15 @@
 /// requests is sent before it. The rate may change between two calls.
 using start_delay = std::function<duration(std::size_t ahead)>;
 
+/// Number of requests of this priority or a higher one that are expected to return up to the given time, having been
+/// promised capacity.
+using expected_returns = std::function<std::size_t(int priority, time_point until)>;
+
 /// Queue for the slots of one backend server. Order: nested requests first, since their callers occupy slots while they
 /// wait; then by priority; then requests that can still meet their objective, by objective; then the others, by
 /// deadline. If it ranks by caller, priority comes first and nested requests go before others of the same priority;
-/// requests that make calls then leave slots to those that make fewer levels of calls.
+/// requests that make calls then leave slots to those that make fewer levels of calls. Requests that return at their
+/// assigned time go before others of their priority.
 class slot_queue {
 public:
     explicit slot_queue(const slot_queue_settings&);
@@ -73,6 +80,8 @@
     void setSlots(int);
     /// Limits the rate at which requests run, in addition to the slots.
     void limitStarts(start_delay delay) { m_startDelay = std::move(delay); }
+    /// New requests count the returns that are due before they would start as work ahead of them.
+    void expectReturns(expected_returns returns) { m_expectedReturns = std::move(returns); }
     int slots() const { return m_settings.slots; }
     std::size_t running() const { return m_running.size(); }
     std::size_t waiting() const { return m_waiting.size(); }
@@ -121,10 +130,13 @@
     time_point expectedLateEnd(const queued_request&, duration waitBehind, time_point now) const;
     bool precedes(const queued_request&, const queued_request&, time_point now) const;
     std::vector<waiting_share> waitingAhead(const queued_request&, time_point now) const;
+    /// Adds the returns that are due before the request would start.
+    void addExpectedReturns(const queued_request&, std::vector<waiting_share>& ahead, time_point now) const;
     void updateServiceTime(const std::string& kind, duration);
 
     slot_queue_settings m_settings;
     start_delay m_startDelay;
+    expected_returns m_expectedReturns;
     std::vector<queued_request> m_waiting;
     std::unordered_map<request_number, running_request> m_running;
     std::unordered_map<std::string, duration> m_serviceTimes;
