Recognise returns that another entry node has told a time

A caller without a key may return through any entry node, which does not know the time that another one assigned; its return counted as a new request. Callers that were told no time they can keep come back after a third of their remaining time, so that one that comes earlier was told a time. Its age is known from attempt_age. Such returns get a place up to 0.2 of the requests served for the node.

The path through the entry node has a test.

--- a/src/admission/internal/service_returns.cpp
+++ b/src/admission/internal/service_returns.cpp
@@ -11,6 +11,13 @@
     constexpr std::size_t maxServices = 64; ///< Those of the configuration; bounds the memory.
     constexpr auto forgottenAfter = std::chrono::minutes(1); ///< A service without requests.
 
+    /// Part of the requests that are served for this node which may be returns that other nodes have told a time: what
+    /// those assign, and some more for the variation of short times.
+    constexpr double othersShare = 0.2;
+    /// A caller that was told no time it can keep returns after a third of its remaining time. Those that return
+    /// clearly earlier were told a time.
+    constexpr double waitShare = 0.32;
+
     void add(return_counts& sum, const return_counts& counts)
     {
         sum.assigned += counts.assigned;
@@ -23,6 +30,7 @@
 service_returns::service_state::service_state()
     : served(timeConstant)
     , serviceTime(timeConstant)
+    , others(timeConstant)
 {
 }
 
@@ -43,10 +51,28 @@
     return &state;
 }
 
-return_kind service_returns::recognise(const std::string& service, const return_request& request, time_point now)
+return_kind service_returns::recognise(
+    const std::string& service, const return_request& request, duration age, time_point now)
 {
     auto* state = find(service, now);
-    return state ? state->schedule.recognise(request, now) : return_kind::none;
+    if (!state)
+        return return_kind::none;
+    const auto kind = state->schedule.recognise(request, now);
+    return kind == return_kind::none ? recogniseByAge(*state, request, age, now) : kind;
+}
+
+// The limit keeps callers whose timeouts are always short from going before all others.
+return_kind service_returns::recogniseByAge(
+    service_state& state, const return_request& request, duration age, time_point now)
+{
+    if (age <= duration::zero())
+        return return_kind::none;
+    const double remaining = inSeconds(request.deadline - now);
+    const bool isEarly = inSeconds(age) < waitShare * (remaining + inSeconds(age));
+    if (!isEarly || state.others.rate(now) >= othersShare * state.served.rate(now))
+        return return_kind::untimely;
+    state.others.add(1, now);
+    return return_kind::on_time;
 }
 
 void service_returns::recordServed(const std::string& service, duration serviceTime, time_point now)
--- a/src/admission/service_returns.h
+++ b/src/admission/service_returns.h
@@ -12,7 +12,8 @@
 /// some tens of services.
 class service_returns {
 public:
-    return_kind recognise(const std::string& service, const return_request&, time_point now);
+    /// The age is the estimated time since the first attempt of the caller, which another node may have refused.
+    return_kind recognise(const std::string& service, const return_request&, duration age, time_point now);
     /// The service has run a request of this node.
     void recordServed(const std::string& service, duration serviceTime, time_point now);
     /// Time for the return of a refused request; empty if it has been refused before. The backlog is the least time
@@ -30,9 +31,11 @@
         return_schedule schedule;
         decaying_sum served;
         decaying_average serviceTime; ///< Seconds.
+        decaying_sum others; ///< Returns that were taken for on-time ones of other nodes.
         time_point lastAt {};
     };
 
+    static return_kind recogniseByAge(service_state&, const return_request&, duration age, time_point now);
     service_state* find(const std::string& service, time_point now);
 
     std::map<std::string, service_state> m_services;
--- a/src/mesh/internal/entry_service.cpp
+++ b/src/mesh/internal/entry_service.cpp
@@ -123,7 +123,8 @@
     request.priority = route->priority;
     request.isFromOwnHost = exchange->isFromOwnHost();
     request.objective = route->latencyObjective > duration::zero() ? now + route->latencyObjective : request.deadline;
-    request.objective -= m_ages.estimate(route->name, callerTimeout);
+    const auto age = m_ages.estimate(route->name, callerTimeout);
+    request.objective -= age;
     request.isIdempotent = route->isIdempotent;
     auto possibleCall = attributeCall(request, caller.timeout, now);
     const auto* service = m_context.routes.service(request.service);
@@ -139,7 +140,7 @@
     // Calls of a backend server are no callers that wait and return; those with a key return to their gate.
     std::optional<return_kind> returnKind;
     if (m_context.settings.scheduling.plansReturns && !request.key && !possibleCall) {
-        returnKind = m_returns.recognise(request.service, returnOf(request), now);
+        returnKind = m_returns.recognise(request.service, returnOf(request), age, now);
         request.isReturn = returnKind == return_kind::on_time;
     }
     auto call = std::make_shared<entry_call>(*this, std::move(exchange), std::move(request), *route);
--- a/src/mesh/tests/return_path_test.cpp
+++ b/src/mesh/tests/return_path_test.cpp
@@ -131,6 +131,51 @@
         EXPECT_EQ(gate->returnCounts(), return_counts());
     }
 
+    // Guards against an entry node that does not pass its assigned times on to callers, or their places to the gate.
+    TEST_F(ReturnPathTest, EntryNodeAssignsTimesForRequestsWithoutAKey)
+    {
+        start(true);
+        const auto client = http_client::create(loop.base(), entryServer->address(), 100);
+        int answered = 0;
+        std::optional<duration> least; ///< Retry-After.
+        const auto fetchOnce = [&](const std::string& id, duration timeout) {
+            const auto ms = std::chrono::duration_cast<milliseconds>(timeout).count();
+            heatherdrift::fetch(*client,
+                { "POST", "/" + id, { { "Host", "h" }, { "id", id }, { "timeout-ms", std::to_string(ms) } }, "" },
+                test_loop::farDeadline(), 1000, [&](result<http_response> response) {
+                    ++answered;
+                    if (const auto told = response.value().head.headers.find("retry-after-us"))
+                        least = std::min<duration>(
+                            least.value_or(duration::max()), duration(std::stoll(std::string(*told))));
+                });
+        };
+        const auto answerAt = [&](std::size_t index) {
+            const auto id = held[index]->request().target.substr(1);
+            held[index]->respond({ { 200, { { "signed", "1" }, { "id", id } } }, "" });
+        };
+        for (int round = 1; round <= 3; ++round) {
+            for (int i = 0; i < slots; ++i)
+                fetchOnce("served", seconds(2));
+            loop.runUntil([&] { return held.size() == slots; });
+            runFor(milliseconds(50));
+            for (std::size_t i = 0; i < slots; ++i)
+                answerAt(i);
+            loop.runUntil([&] { return answered == round * slots; });
+            held.clear();
+        }
+        const auto sentAt = boot_clock::now();
+        for (int i = 0; i < 90; ++i)
+            fetchOnce("new", seconds(2));
+        loop.runUntil([&] { return least && held.size() == slots; });
+        EXPECT_GE(entry->returnCounts().assigned, 1u);
+        runFor(*least);
+        fetchOnce("return", seconds(2) - (boot_clock::now() - sentAt));
+        loop.runUntil([&] { return entry->returnCounts().onTime == 1; });
+        answerAt(0);
+        loop.runUntil([&] { return held.size() > slots; });
+        EXPECT_EQ(held.back()->request().target, "/return");
+    }
+
     // Guards against requests that are sent from gate to gate although none can start them in time, and against a
     // refusal that stays after the gates have capacity again.
     TEST_F(ReturnPathTest, RequestThatNoServerCanStartInTimeIsRefusedWithoutAnAttempt)
