--- a/src/admission/internal/load_view.cpp
+++ b/src/admission/internal/load_view.cpp
@@ -233,11 +233,6 @@
         m_statusesUntil = std::max(m_statusesUntil, one.completion.currentUntil());
 }
 
-duration load_view::usualWait(std::size_t urgency, time_point now) const
-{
-    return fromSeconds(m_poolWaits[urgency].value(0, now));
-}
-
 // A server whose service time is not known counts as faster than usual, so that it is tried.
 duration load_view::expectedCompletion(const server& one, std::size_t urgency, time_point now) const
 {
--- a/src/admission/load_view.h
+++ b/src/admission/load_view.h
@@ -154,7 +154,6 @@
     /// Expected seconds until the answer, with penalties for failures and refusals.
     double completionCost(const server&, std::size_t urgency, time_point now) const;
     duration expectedCompletion(const server&, std::size_t urgency, time_point now) const;
-    duration usualWait(std::size_t urgency, time_point now) const;
     double penalties(const server&, time_point now) const;
     std::optional<instance_id> pickByCompletion(const pick_options&, time_point now);
     bool isInTime(const server&, const pick_options&, time_point now) const;
--- a/src/mesh/internal/entry_service.h
+++ b/src/mesh/internal/entry_service.h
@@ -3,6 +3,7 @@
 #include "admission/hedge_policy.h"
 #include "admission/random_function.h"
 #include "admission/retry_budget.h"
+#include "admission/service_returns.h"
 #include "http/http_server.h"
 #include "mesh/internal/gate_service.h"
 #include "mesh/internal/mesh_directory.h"
@@ -41,6 +42,9 @@
     std::function<std::optional<duration>()> configurationWait;
 };
 
+/// What is known of a request without a key when it returns.
+return_request returnOf(const routed_request&);
+
 /// Accepts requests from callers, forwards each to the gate of a backend server that may run it, and returns the
 /// response.
 class entry_service {
@@ -52,6 +56,8 @@
     /// Sets the end of the process; requests whose deadline is later are refused.
     void endAt(time_point at) { m_endsAt = at; }
     std::size_t inProgress() const { return m_calls.size(); }
+    /// Returns of requests without a key.
+    return_counts returnCounts() const { return m_returns.counts(); }
 
 private:
     friend class entry_call;
@@ -71,6 +77,7 @@
     entry_context m_context;
     random_function m_random;
     attempt_age m_ages;
+    service_returns m_returns;
     time_point m_endsAt = time_point::max();
     std::map<std::string, retry_budget> m_budgets;
     std::map<std::string, hedge_policy> m_hedges; ///< By service.
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -69,6 +69,8 @@
     request_refused_for_calls = 1915,
     execution_lost_call = 1916,
     request_hedged = 1917,
+    return_refused = 1918,
+    refused_without_attempt = 1919,
     range_map_changed = 1451,
     range_map_write_failed = 1452,
     holds_renewed = 1453,
