--- a/src/admission/internal/service_returns.cpp
+++ b/src/admission/internal/service_returns.cpp
@@ -58,15 +58,15 @@
     if (!state)
         return return_kind::none;
     const auto kind = state->schedule.recognise(request, now);
-    return kind == return_kind::none ? recogniseByAge(*state, request, age, now) : kind;
+    // The deadline may be that of another caller, which this node has told no time.
+    const bool isDecided = kind == return_kind::on_time || age <= duration::zero();
+    return isDecided ? kind : recogniseByAge(*state, request, age, now);
 }
 
 // The limit keeps callers whose timeouts are always short from going before all others.
 return_kind service_returns::recogniseByAge(
     service_state& state, const return_request& request, duration age, time_point now)
 {
-    if (age <= duration::zero())
-        return return_kind::none;
     const double remaining = inSeconds(request.deadline - now);
     const bool isEarly = inSeconds(age) < waitShare * (remaining + inSeconds(age));
     if (!isEarly || state.others.rate(now) >= othersShare * state.served.rate(now))
--- a/src/gate/tests/return_times_test.cpp
+++ b/src/gate/tests/return_times_test.cpp
@@ -1,4 +1,5 @@
 #include "admission/seconds.h"
+#include "admission/service_returns.h"
 #include "gate/return_plan.h"
 #include "gate/tests/two_tiers.h"
 
@@ -37,6 +38,8 @@
         double absentShare = 0; ///< Callers that do not return.
         duration scheduleLostAfter = std::chrono::hours(1);
         unsigned seed = 0;
+        /// Nodes that assign the times of requests without a key; callers use random ones. 0: the gate assigns them.
+        std::size_t entryNodes = 0;
     };
 
     /// Callers and the gate of one backend server: the real queue, schedule and shares, as gate_service connects them.
@@ -47,6 +50,7 @@
             , m_scenario(std::move(what))
             , m_queue({ m_scenario.slots, milliseconds(200) })
         {
+            m_entries.resize(m_scenario.entryNodes);
             if (m_scenario.plansReturns)
                 m_queue.expectReturns([this](int priority, time_point until) {
                     return plan.schedule().dueBefore(priority, until, m_events.now);
@@ -66,6 +70,7 @@
             time_point since {};
             bool isRepeat = false;
             return_kind kind = return_kind::none;
+            std::size_t node = 0;
         };
 
         const caller_group& groupOf(const caller& one) const { return m_scenario.groups[one.group]; }
@@ -97,7 +102,7 @@
             auto kind = return_kind::none;
             bool isHeldBack = false;
             if (m_scenario.plansReturns) {
-                kind = plan.recordArrival(request, m_queue.serviceTime(group.kind), now);
+                kind = recordArrival(one, now);
                 one.kind = kind;
                 isHeldBack = plan.isHeldBack(request, kind, m_queue, now);
             }
@@ -111,6 +116,20 @@
                 start(queued.id);
         }
 
+        return_kind recordArrival(caller& one, time_point now)
+        {
+            const auto request = describe(one);
+            const auto work = m_queue.serviceTime(request.kind);
+            if (m_entries.empty())
+                return plan.recordArrival(request, work, now);
+            one.node = m_random() % m_entries.size();
+            const auto age = one.isRepeat ? now - one.since : duration();
+            const auto kind = m_entries[one.node].recognise("s", request, age, now);
+            // The gate learns of on-time returns only.
+            plan.recordArrival(request, kind == return_kind::on_time ? kind : return_kind::none, work, now);
+            return kind;
+        }
+
         void refuse(const caller& one)
         {
             auto& result = results[one.group];
@@ -122,7 +141,9 @@
             const auto limit = (one.since + groupOf(one).deadline - now) / 3;
             duration wait = m_queue.expectedWait() + m_queue.meanServiceTime();
             if (m_scenario.plansReturns) {
-                wait = plan.refuse(describe(one), one.kind, m_queue, std::nullopt, now).value().at - now;
+                wait = !m_entries.empty()
+                    ? m_entries[one.node].refuse("s", describe(one), one.kind, wait, now).value().at - now
+                    : plan.refuse(describe(one), one.kind, m_queue, std::nullopt, now).value().at - now;
             } else {
                 wait = std::chrono::duration_cast<duration>(
                     wait * std::uniform_real_distribution<double>(0.7, 1.3)(m_random));
@@ -145,6 +166,8 @@
             m_events.after(time, [this, id, time] {
                 m_queue.finish(id, time);
                 const auto one = m_callers.at(id);
+                if (!m_entries.empty())
+                    m_entries[one.node].recordServed("s", time, m_events.now);
                 m_callers.erase(id);
                 if (m_events.now <= one.since + groupOf(one).deadline)
                     ++results[one.group].served;
@@ -180,6 +203,7 @@
         const time_point m_end = m_events.now + seconds(10);
         time_point m_lostAt = m_events.now + m_scenario.scheduleLostAfter;
         slot_queue m_queue;
+        std::vector<service_returns> m_entries;
         std::map<request_number, caller> m_callers;
         std::mt19937_64 m_random { m_scenario.seed };
         /// The same arrivals with and without the schedule.
@@ -256,6 +280,19 @@
         }
     }
 
+    // Guards against callers that are refused again because they return through another node than the one that told
+    // them a time, or because the times of several nodes exceed the capacity.
+    TEST(ReturnTimes, CallersWithoutAKeyReturnThroughAnyEntryNode)
+    {
+        const summary before({ .plansReturns = false, .groups = twoZones });
+        const summary after({ .groups = twoZones, .entryNodes = 10 });
+        std::cout << "without: " << before << "with:    " << after;
+        EXPECT_LT(10 * after.refusedTwice, before.refusedTwice);
+        EXPECT_GT(after.servedWork, 0.98 * before.servedWork);
+        EXPECT_NEAR(after.shares[0], 1, 0.1);
+        EXPECT_NEAR(after.shares[1], 1, 0.1);
+    }
+
     // Guards against a schedule that makes things worse for callers that come back whatever they are told: those that
     // cannot be served are then refused twice in any case, but not more of them.
     TEST(ReturnTimes, CallersThatComeBackWithoutATimeAreNotRefusedMoreOften)
