--- a/soak/platform_soak.py
+++ b/soak/platform_soak.py
@@ -78,8 +78,8 @@
     def handle(self, method, target, headers, reader, sock):
         if target == "/healthz":
             sock.sendall(lib.message("HTTP/1.1 200 OK", {
-                "X-Instance-Id": self.identity, "X-Server-Load": self.load(), "X-Cold-Ms": self.cold_ms(),
-                "Content-Length": 0}))
+                "X-Instance-Id": self.identity, "X-Server-Load": self.load(),
+                "X-Cold-Ms": 0 if self.machine.mesh.has_false_health else self.cold_ms(), "Content-Length": 0}))
             return True
         body = reader.body(headers)
         identity = headers.get("x-request-id", "")
@@ -127,8 +127,9 @@
 
 
 class PlatformMesh(lib.Mesh):
-    def __init__(self, folder, build, seed):
+    def __init__(self, folder, build, seed, has_false_health):
         super().__init__(folder, SERVICES)
+        self.has_false_health = has_false_health
         self.random = random.Random(f"{seed}-machines")
         self.scheduling = self.random.choice(
             ({}, {"completion_time": True}, {"rank_by_caller": True, "limit_calls": True, "completion_time": True}))
@@ -188,11 +189,11 @@
 
 
 class PlatformSoak:
-    def __init__(self, build, seed, seconds):
+    def __init__(self, build, seed, seconds, has_false_health=False):
         self.seed, self.seconds, self.random = seed, seconds, random.Random(f"{seed}-platform")
         self.is_over, self.lock, self.store_lock = threading.Event(), threading.Lock(), threading.Lock()
         self.directory = tempfile.mkdtemp(prefix="heatherdrift-")
-        self.mesh = PlatformMesh(self.directory, build, seed)
+        self.mesh = PlatformMesh(self.directory, build, seed, has_false_health)
         self.findings, self.injected, self.evacuations = [], [], []
 
     def run(self):
