Reproduce two holders of a key in failing tests

- A release of a lower token is recorded for keys that the same report lists with a higher one.
- A refused connection ends the life that is present when the refusal is handled, so that two holders have the keys (TwoOwnersTest), and a life that counts as ended is granted keys.
- A restarted node counts the holds of its predecessor as ended after a late heartbeat of an earlier life.
- Another node's response counts for the life that is known when it arrives.

RefusedConnectionTest passes: the gate already names the life that it sent the request to.

--- /dev/null
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -0,0 +1,262 @@
+#include "mesh/tests/member_registry_fixture.h"
+#include "mesh/tests/simulated_store.h"
+#include "mesh/tests/test_port.h"
+
+#include <thread>
+
+namespace heatherdrift {
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    // Guards against keys that are taken from a backend server without waiting, because a connection to the one before
+    // it at the same address was refused. The node learns of the refusal in a later turn of its event loop than of
+    // heartbeats that arrived at the same time.
+    TEST_F(MemberRegistryTest, RefusedConnectionToAnEarlierLifeDoesNotEndThePresentOne)
+    {
+        heartbeat();
+        const backend_question question { announcements.current()->life(), boot_clock::now() };
+        id = "i2";
+        startedAt = 9;
+        heartbeat();
+        announcements.onBackendRefused(question);
+        EXPECT_FALSE(announcements.hasEnded());
+        EXPECT_EQ(gate.backend().id, "i2");
+    }
+
+    // Guards against the same where the life has sent a heartbeat since the connection was started, as one that begins
+    // to listen after its first heartbeat.
+    TEST_F(MemberRegistryTest, RefusedConnectionBeforeAHeartbeatDoesNotEndItsLife)
+    {
+        heartbeat();
+        const backend_question question { announcements.current()->life(), boot_clock::now() };
+        std::this_thread::sleep_for(milliseconds(1));
+        heartbeat();
+        announcements.onBackendRefused(question);
+        EXPECT_FALSE(announcements.hasEnded());
+        announcements.onBackendRefused({ announcements.current()->life(), boot_clock::now() });
+        EXPECT_TRUE(announcements.hasEnded());
+    }
+
+    // Guards against a late heartbeat of an earlier life that replaces the present one, since a connection to the life
+    // before was refused: an unknown life is taken at once when the present one has ended.
+    TEST_F(MemberRegistryTest, RefusedConnectionToAnEarlierLifeDoesNotAdmitALateHeartbeat)
+    {
+        heartbeat();
+        const backend_question question { announcements.current()->life(), boot_clock::now() };
+        id = "i2";
+        startedAt = 9;
+        heartbeat();
+        announcements.onBackendRefused(question);
+        id = "i0";
+        startedAt = 2;
+        heartbeat();
+        EXPECT_EQ(announcements.current()->id, "i2");
+    }
+
+    // Guards against keys that are taken from a backend server without waiting, because another node responds at the
+    // address that its node had before: the question was sent before the node was announced at its present address.
+    TEST_F(MemberRegistryTest, AnotherNodeAtAFormerAddressDoesNotEndThePresentLife)
+    {
+        registry.onRowChanged(row(member("n3", 2, "i3@4"), 30));
+        const auto question = directory.question("n3", boot_clock::now());
+        registry.onRowChanged(row(member("n3", 3, "i3@8"), 31));
+        registry.onNodeReplaced(question);
+        ASSERT_NE(directory.find("n3"), nullptr);
+        EXPECT_EQ(directory.find("n3")->member.life, "i3@8");
+        EXPECT_EQ(probed, (std::vector<instance_id> { "n3" })) << "the present address is not asked";
+    }
+
+    // Guards against the same where the node was removed and announced again meanwhile.
+    TEST_F(MemberRegistryTest, AnotherNodeAtAFormerAddressDoesNotEndANodeThatWasAnnouncedAgain)
+    {
+        registry.onRowChanged(row(member("n3", 2, "i3@4"), 30));
+        const auto question = directory.question("n3", boot_clock::now());
+        registry.onRowChanged(missing("n3", 31));
+        registry.onRowChanged(row(member("n3", 2, "i3@4"), 32));
+        registry.onNodeReplaced(question);
+        EXPECT_NE(directory.find("n3"), nullptr);
+    }
+
+    /// A gate whose backend server's address refuses connections.
+    class RefusedConnectionTest : public testing::Test {
+    protected:
+        RefusedConnectionTest()
+        {
+            settings.service = "s";
+            settings.backend = loop.listen([](const http_exchange_ptr&) {})->address(); // Closed again at once.
+            gate = std::make_unique<gate_service>(loop.base(), settings, port,
+                gate_hooks { [](key_number) { return key_access::serve; }, [] { return std::int64_t { 0 }; },
+                    [] { return std::optional<table_statements>(); },
+                    [this](const backend_question& question) { refused = question; } });
+        }
+
+        test_loop loop;
+        platform_port port = makeTestPort();
+        mesh_settings settings;
+        std::unique_ptr<gate_service> gate;
+        std::optional<backend_question> refused;
+    };
+
+    // Guards against a refused connection that is held against a life which the request was not sent to.
+    TEST_F(RefusedConnectionTest, RefusalNamesTheLifeThatTheRequestWasSentTo)
+    {
+        gate->setBackend({ "i1@5", "i1", 1 });
+        const auto before = boot_clock::now();
+        routed_request request;
+        request.message = { "GET", "/", {}, "" };
+        request.service = "s";
+        request.deadline = request.objective = test_loop::farDeadline();
+        bool isAnswered = false;
+        gate->execute(request, [&](const gate_answer&) { isAnswered = true; });
+        const auto after = boot_clock::now();
+        gate->setBackend({ "i2@9", "i2", 1 });
+        loop.runUntil([&] { return isAnswered; });
+        ASSERT_TRUE(refused);
+        EXPECT_EQ(refused->life, "i1@5");
+        EXPECT_GE(refused->askedAt, before);
+        EXPECT_LE(refused->askedAt, after);
+    }
+
+    /// Two owners that share a store. The first has the node's real handling of heartbeats, and its backend server is
+    /// started again as another life.
+    class TwoOwnersTest : public testing::Test {
+    protected:
+        struct owner {
+            owner(TwoOwnersTest& test, const instance_id& node)
+            {
+                settings.node = node;
+                settings.service = "s";
+                settings.longestHold = seconds(10);
+                settings.heartbeatInterval = milliseconds(300);
+                keys = std::make_unique<ownership>(test.loop.base(), settings, client, row_key { "ranges", "s" },
+                    ownership_hooks { boot_clock::now, [&test] { return test.candidates(); },
+                        [](const range_map& map, fencing_token, time_point) { return map; },
+                        [&test] { test.announcements->onOwnershipChanged(); }, [] {}, [] { return false; },
+                        [](const std::set<life_name>&) {}, [](const life_name&) { return true; } });
+            }
+
+            mesh_settings settings;
+            simulated_store_client client;
+            std::unique_ptr<ownership> keys;
+        };
+
+        TwoOwnersTest()
+        {
+            next.service = "s";
+            port.decodeDeparture = [](const http_request&) { return std::nullopt; };
+            port.decodeAnnouncement = [this](const http_request&) -> result<backend_announcement> { return next; };
+            port.encodeGrant = [this](const hold_grant& grant) {
+                firstGrant = grant;
+                return http_response { { 200, {} }, "" };
+            };
+            gate = std::make_unique<gate_service>(loop.base(), first.settings, port,
+                gate_hooks { [](key_number) { return key_access::refuse; }, [] { return std::int64_t { 0 }; },
+                    [] { return std::optional<table_statements>(); }, [](const backend_question&) {} });
+            announcements
+                = std::make_unique<announcement_service>(loop.base(), first.settings, port, *gate, *first.keys,
+                    announcement_hooks { [] { return true; }, [] {}, [](const std::string&) { return false; } });
+            server = loop.listen([this](http_exchange_ptr exchange) { announcements->handle(std::move(exchange)); });
+            const row_key row { "ranges", "s@1" };
+            store.apply({ {}, { { row, 0, range_map().assign({ 0, lastKey }, "i1@5", 1).toJson() } } });
+            for (auto* one : { &first, &second }) {
+                one->client.noteEra(1);
+                one->keys->onTableRead(1);
+                one->keys->onRowChanged(store.current(row));
+            }
+        }
+
+        std::vector<owner_candidate> candidates() const
+        {
+            std::vector<owner_candidate> out;
+            if (announcements && announcements->current() && !announcements->hasEnded())
+                out.push_back({ "n1", { announcements->current()->life(), 0 }, true });
+            out.push_back({ "n2", { "i9@1", 0 }, true });
+            return out;
+        }
+
+        void serveStore()
+        {
+            for (auto* one : { &first, &second }) {
+                one->keys->advance();
+                while (!one->client.queue.empty()) {
+                    auto call = std::move(one->client.queue.front());
+                    one->client.queue.pop_front();
+                    call.done(one->client.answer(store, call.write));
+                }
+            }
+        }
+
+        void heartbeat(const std::string& id, std::int64_t startedAt)
+        {
+            next.id = id;
+            next.startedAt = startedAt;
+            ++next.sequence;
+            const auto sentAt = boot_clock::now();
+            ASSERT_EQ(loop.fetch(server->address(), { "PUT", "/", {}, "" }).value().head.status, 200);
+            serveStore();
+            if (!firstGrant.isValid)
+                return;
+            next.holds.clear();
+            for (const auto& range : firstGrant.ranges)
+                next.holds.push_back({ range.keys, range.fence });
+            firstHoldEnd = sentAt + firstGrant.hold;
+        }
+
+        bool secondGetsKeys()
+        {
+            backend_announcement announcement;
+            announcement.id = "i9";
+            announcement.startedAt = 1;
+            announcement.sequence = ++secondSequence;
+            second.keys->handleHeartbeat(announcement);
+            serveStore();
+            return !second.keys->grant(boot_clock::now()).ranges.empty();
+        }
+
+        test_loop loop;
+        platform_port port;
+        simulated_store store;
+        backend_announcement next;
+        hold_grant firstGrant;
+        time_point firstHoldEnd {};
+        std::int64_t secondSequence = 0;
+        owner first { *this, "n1" };
+        owner second { *this, "n2" };
+        std::unique_ptr<gate_service> gate;
+        std::unique_ptr<announcement_service> announcements;
+        std::unique_ptr<http_server> server;
+    };
+
+    // Guards against two backend servers that hold the same keys: the first one crashes and starts again, and a
+    // connection to the life that crashed is reported as refused after the next life has been granted the keys.
+    TEST_F(TwoOwnersTest, LateRefusalOfAConnectionDoesNotGiveKeysASecondHolder)
+    {
+        heartbeat("i1", 5);
+        heartbeat("i1", 5);
+        ASSERT_EQ(firstGrant.ranges.size(), 1u);
+        const backend_question question { "i1@5", boot_clock::now() };
+        heartbeat("i2", 9);
+        heartbeat("i2", 9);
+        ASSERT_EQ(firstGrant.ranges.size(), 1u);
+        announcements->onBackendRefused(question);
+        while (boot_clock::now() < firstHoldEnd) {
+            ASSERT_FALSE(secondGetsKeys()) << "while the hold of the first owner lasts";
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+    }
+
+    // Guards against a grant to a life that has ended since it sent the heartbeat: its keys are given to others without
+    // waiting for the end of that hold.
+    TEST_F(TwoOwnersTest, LifeThatHasEndedIsNotGrantedKeys)
+    {
+        heartbeat("i1", 5);
+        heartbeat("i1", 5);
+        ASSERT_TRUE(first.keys->grant(boot_clock::now()).isValid);
+        first.keys->onBackendEnded("i1@5");
+        EXPECT_FALSE(first.keys->grant(boot_clock::now()).isValid);
+    }
+
+} // namespace
+} // namespace heatherdrift
--- a/src/ranges/tests/hold_manager_test.cpp
+++ b/src/ranges/tests/hold_manager_test.cpp
@@ -144,6 +144,42 @@
         EXPECT_EQ(manager.releaseUnheld(moved, start + seconds(3)), moved);
     }
 
+    // Guards against the same where the new process has taken a late heartbeat of an earlier incarnation first: the
+    // previous process has granted nothing to that one, but may have to the next.
+    TEST_F(HoldManagerTest, ANewProcessRespectsHoldsOfThePreviousOneAfterALateHeartbeat)
+    {
+        manager.startLife("earlier");
+        manager.startLife("a");
+        const auto moved = owned.assign(all, "b", 2);
+        EXPECT_EQ(manager.releaseUnheld(moved, start + seconds(3)), moved);
+        EXPECT_NE(manager.releaseUnheld(moved, start + seconds(5)), moved);
+    }
+
+    // Guards against a release of keys that the backend server still executes requests for: a range that was granted
+    // again with a higher token is reported once per token until the requests of the lower one have ended, and that end
+    // is reported as a release of the lower token alone.
+    TEST_F(HoldManagerTest, ReleaseOfALowerTokenDoesNotReleaseKeysHeldWithAHigherOne)
+    {
+        manager.startLife("a");
+        manager.confirm(owned.assign({ 200, lastKey }, "b", 2), start);
+        reportAndGrant(start);
+        const auto merged = range_map().assign(all, "a", 5);
+        manager.confirm(merged, start);
+        reportAndGrant(start, { { { 0, 199 }, 1 } });
+        const auto moved = merged.assign({ 100, 299 }, "b", 6);
+        manager.confirm(moved, start);
+        reportAndGrant(start, { { { 0, 199 }, 1 }, { all, 5 } });
+        reportAndGrant(start, { { { 0, 99 }, 1 }, { { 0, 99 }, 5 }, { { 100, 299 }, 5 }, { { 300, lastKey }, 5 } },
+            { { { 100, 199 }, "lower" } });
+        reportAndGrant(start, { { { 0, 99 }, 5 }, { { 100, 299 }, 5 }, { { 300, lastKey }, 5 } });
+        EXPECT_EQ(manager.releaseUnheld(moved, start), moved);
+        reportAndGrant(start, { { { 0, 99 }, 5 }, { { 300, lastKey }, 5 } }, { { { 100, 299 }, "higher" } });
+        const auto released = manager.releaseUnheld(moved, start);
+        EXPECT_TRUE(released.find(100).releasing.empty());
+        EXPECT_EQ(released.find(100).handover, "higher");
+        EXPECT_EQ(released.find(250).handover, "higher");
+    }
+
     // Guards against keys granted on the word of an older copy of the map, which an incarnation of a lost map still
     // holds.
     TEST_F(HoldManagerTest, KeysWithAnUnknownHolderAreNotGranted)
