Record no release of keys that the same report lists as held

Cause: neighbouring ranges of one owner are merged, so that it is granted the same keys again with a higher token. The backend server then reports the range once per token until the requests of the lower one have ended. If some of the keys move away meanwhile, the end of the old requests is reported as a release of these keys, beside the range with the higher token that is still at work. The node took the release alone, recorded it, and the next owner was granted the keys at once.

Fix: a release counts for keys that neither the last report lists nor the last grant contains. The last release of a key is recorded first, since its handover is that of the last holder.

--- a/src/ranges/hold_manager.h
+++ b/src/ranges/hold_manager.h
@@ -120,6 +120,7 @@
     time_point latestHoldEnd() const;
     duration holdDuration(time_point receivedAt) const;
     bool isHeld(key_range) const;
+    bool isReleased(key_range) const;
     std::vector<key_range> provenKeys(const owned_range&) const;
 
     hold_terms m_terms;
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -3,6 +3,7 @@
 #include "ranges/range_edit.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace heatherdrift {
 
@@ -185,6 +186,13 @@
         || anyIntersects(m_previouslyGranted, keys);
 }
 
+/// Whether keys that a report has listed as released are not held any more. A range that was granted again is held once
+/// per token, and the end of the requests with a lower token is reported as a release of that token alone.
+bool hold_manager::isReleased(key_range keys) const
+{
+    return !anyIntersects(m_granted, keys) && !anyIntersects(m_reported, keys);
+}
+
 release_basis hold_manager::releaseBasis(const owned_range& range, time_point now) const
 {
     if (std::ranges::find(range.releasing, m_life) == range.releasing.end())
@@ -193,9 +201,8 @@
         return release_basis::hold_ended;
     if (m_reportCount < minReportsForRelease)
         return release_basis::none;
-    const bool isReported = std::ranges::any_of(m_released, [&](const auto& released) {
-        return released.keys.intersects(range.keys) && !anyIntersects(m_granted, released.keys);
-    });
+    const bool isReported = std::ranges::any_of(m_released,
+        [&](const auto& released) { return released.keys.intersects(range.keys) && isReleased(released.keys); });
     if (isReported)
         return release_basis::reported;
     return isHeld(range.keys) ? release_basis::none : release_basis::not_reported;
@@ -210,8 +217,9 @@
             edit.release(m_life, range.keys, "");
         if (basis != release_basis::reported)
             continue;
-        for (const auto& released : m_released) {
-            if (released.keys.intersects(range.keys) && !anyIntersects(m_granted, released.keys))
+        // The last release of a key has the state of its last holder, so it goes first.
+        for (const auto& released : m_released | std::views::reverse) {
+            if (released.keys.intersects(range.keys) && isReleased(released.keys))
                 edit.release(m_life, intersection(released.keys, range.keys), released.handover);
         }
     }
