Keep the end of holds across lives of the backend server

What callers could see: after a restart of its node, a backend server loses keys to another one that is granted them while its own hold lasts.

Cause: a node keeps, for the first life that it hears of, the time until which its predecessor may have granted holds; any later life started without it. The first life may be an earlier one whose heartbeat was late, if the row of the node has not been read by then or was removed. The holds of the life that runs then counted as ended, and keys on their way to another owner were released at once.

Fix: the end of the holds is kept over all lives of a process. A later life waits for it only where its backend server reports nothing; otherwise its reports decide, as before.

--- a/src/ranges/hold_manager.h
+++ b/src/ranges/hold_manager.h
@@ -93,7 +93,7 @@
     /// earlier process may have granted do not count as ended.
     void forgetLife();
     const life_name& life() const { return m_life; }
-    /// From this time on the present incarnation holds no keys unless it is granted them again.
+    /// From this time on no incarnation holds keys unless it is granted them again.
     time_point holdEnd() const { return m_holdEnd; }
     time_point confirmedAt() const { return m_confirmedAt; }
 
@@ -128,7 +128,7 @@
     range_map m_map;
     time_point m_confirmedAt {}; ///< Epoch of the clock: never confirmed.
     time_point m_promisedUntil = time_point::min();
-    /// Latest end of any hold granted to the current incarnation, if its clock runs slow.
+    /// Latest end of any hold granted to an incarnation, if its clock runs slow.
     time_point m_holdEnd;
     time_point m_serveEnd = time_point::min(); ///< The same if its clock does not.
     std::vector<granted_range> m_granted; ///< Granted by the last answer.
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -61,9 +61,9 @@
 
 void hold_manager::startLife(const life_name& life)
 {
-    // A previous process may have granted holds to the first incarnation seen by this process, but to no later one.
-    if (!m_life.empty())
-        m_holdEnd = m_serveEnd = time_point::min();
+    // The end of the holds is kept. A previous process may have granted some to this incarnation, even if this process
+    // has heard of another one before, whose heartbeat was late.
+    m_serveEnd = time_point::min();
     m_life = life;
     clearReports();
 }
