Bind a refused connection to the life that was asked

What callers could see: two backend servers hold the same keys after one of them has crashed and started again.

Cause: a refused connection named no life. The HTTP client reports the end of a call one turn of the event loop later, so that a node that was late handles a heartbeat of the next life before the refusal of a connection to the one before. The refusal then ended the next life: its keys were given to others without waiting, while it was granted them, and an unknown life was admitted at its next heartbeat.

Evidence: TwoOwnersTest has the real handling of heartbeats and two owners; the second one is granted the keys while the hold of the first lasts.

Fix: the refusal carries the life that the request was sent to and the time at which it was sent. It counts only for that life, and only if the life has sent no heartbeat since; the next connection shows the end of one that did. The same for a life that is known from the row of an earlier process.

--- a/src/gate/life_order.h
+++ b/src/gate/life_order.h
@@ -56,6 +56,8 @@
     void onPresentEnded() { m_hasEnded = true; }
 
     const std::optional<ordered_life>& present() const { return m_present; }
+    /// Last heartbeat of the present life, or the time at which it was presumed.
+    time_point heardAt() const { return m_heardAt; }
     /// Whether heartbeats of a life with this id arrive that may be a later one, so that a message that names only the
     /// id may be that life's.
     bool isUndecided(const std::string& id, time_point now) const;
--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -313,17 +313,31 @@
     m_isAnswering = false;
 }
 
+/// Whether the connection was started after everything that is known of the present life, so that its refusal shows the
+/// end of that one. The refusal is handled after heartbeats that arrived at the same time.
+bool announcement_service::isAboutPresent(const backend_question& question) const
+{
+    const auto& present = m_lives.present();
+    return present && question.life == makeLife(present->stated.id, present->order)
+        && question.askedAt > m_lives.heardAt();
+}
+
 void announcement_service::onBackendRefused(const backend_question& question)
 {
+    const auto logEvidence = [&](log_event event) {
+        logEvent(event,
+            { { "life", question.life }, { "evidence", std::string(toString(end_evidence::refused_connection)) },
+                { "address", toString(m_settings.backend) },
+                { "asked_ms_ago", millisecondsText(boot_clock::now() - question.askedAt) },
+                { "present_life", m_current ? m_current->life() : "" } });
+    };
+    if (!isAboutPresent(question))
+        return logEvidence(log_event::evidence_outdated);
     m_lives.onPresentEnded();
     if (!m_current || std::exchange(m_hasEnded, true))
         return;
     logEvent(log_event::backend_lost, { { "backend_server", m_current->id } });
-    logEvent(log_event::life_ended,
-        { { "life", m_current->life() }, { "evidence", std::string(toString(end_evidence::refused_connection)) },
-            { "address", toString(m_settings.backend) },
-            { "asked_ms_ago", millisecondsText(boot_clock::now() - question.askedAt) },
-            { "asked_of_present", question.life == m_current->life() ? "yes" : "no" } });
+    logEvidence(log_event::life_ended);
     m_gate.setBackend({});
     m_ownership.onBackendEnded(m_current->life());
     m_hooks.onChanged();
--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -147,9 +147,10 @@
     m_directory.update(member.value(), boot_clock::now());
 }
 
-void member_registry::onPresumedLifeEnded()
+void member_registry::onPresumedLifeEnded(const backend_question& question)
 {
-    if (m_announcements.current() || m_gate.backend().life.empty())
+    const auto& presumed = m_gate.backend().life;
+    if (m_announcements.current() || presumed.empty() || question.life != presumed)
         return;
     m_gate.setBackend({});
     m_publishDueAt = boot_clock::now();
--- a/src/mesh/internal/member_registry.h
+++ b/src/mesh/internal/member_registry.h
@@ -33,7 +33,7 @@
     void publish();
     /// Called when the backend server refused a connection before its first heartbeat, so that the life in the row of
     /// an earlier node process has ended.
-    void onPresumedLifeEnded();
+    void onPresumedLifeEnded(const backend_question&);
     /// Called when another node listens at the node's address, so that its instance and backend server are gone.
     void onNodeReplaced(const peer_question&);
     /// Forgets a node and removes its row from the store, unless another node removes it first.
--- a/src/mesh/internal/mesh_node.cpp
+++ b/src/mesh/internal/mesh_node.cpp
@@ -73,7 +73,7 @@
                       [this] { return m_ownership.version(); }, [this] { return m_tables.statement(); },
                       [this](const backend_question& question) {
                           m_announcements.onBackendRefused(question);
-                          m_registry.onPresumedLifeEnded();
+                          m_registry.onPresumedLifeEnded(question);
                       },
                       [this](request_fingerprint request, time_point now) {
                           return m_suspects.refusedUntil(request, now);
