Bind the response of another node to the life and address that were asked

What callers could see: two backend servers hold the same keys after a node was announced again.

Cause: a node that receives another node's response for the one that it asked counts the backend server of the asked node as ended, and took the life that its directory held when the response arrived. If the node was announced with a new life or at a new address meanwhile, that life lost its keys without any wait. Both askers, the pings and the entry calls, were alike.

Evidence: by reading, and by tests.

Fix: each request to another node remembers the identity of the node in the directory, a number that changes with its life and address. A response about an earlier identity ends nothing; the node is asked again at its present address.

--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -195,11 +195,16 @@
     const auto* peer = m_directory.find(question.node);
     if (!peer || question.node == m_settings.node)
         return;
-    logEvent(log_event::life_ended,
-        { { "life", peer->member.life }, { "evidence", std::string(toString(end_evidence::other_node)) },
-            { "node", question.node }, { "address", toString(peer->member.address) },
+    // The node may have been announced with another life or at another address since.
+    const bool isPresent = peer->identity == question.identity;
+    logEvent(isPresent ? log_event::life_ended : log_event::evidence_outdated,
+        { { "life", isPresent ? peer->member.life : "" },
+            { "evidence", std::string(toString(end_evidence::other_node)) }, { "node", question.node },
+            { "address", toString(peer->member.address) },
             { "asked_ms_ago", millisecondsText(boot_clock::now() - question.askedAt) },
-            { "asked_of_present", peer->identity == question.identity ? "yes" : "no" } });
+            { "present_life", peer->member.life } });
+    if (!isPresent)
+        return m_probe(question.node);
     if (peer->member.service == m_settings.service && !peer->member.life.empty())
         m_ownership.onOtherBackendEnded(peer->member.life);
     removeLost(question.node);
