Grant no keys to a life that has ended since its heartbeat

What callers could see: a backend server that a node counts as ended is granted keys, which others are granted as well.

Cause: the response to a heartbeat waits up to 0.5 s for keys that are about to be granted. If the life counted as ended meanwhile, the response was made from the map as if it ran, while its keys were already given to others.

Fix: a life that counts as ended is granted nothing; its next heartbeat ends that state, as before.

--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -134,6 +134,9 @@
 
 hold_grant ownership::grant(time_point receivedAt)
 {
+    // The keys of a life that has ended since its heartbeat may be granted to others without waiting.
+    if (m_endedLives.contains(m_holdManager.life()))
+        return {};
     const auto before = m_holdManager.granted();
     const auto grant = m_holdManager.grant(receivedAt);
     logGrant(grant, before, receivedAt);
