Take no refused connection for the end of a backend server that leaves

Cause: a refused connection counted as proof that the process of the backend server has ended. One that is shutting down stops listening first; it goes on working on its requests and holds its keys until it has reported their release. Its keys were given to others without waiting.

The store was away for 7.6 s while backend servers left, so that the drain of one was acknowledged late, at 32.92 s, with keys. At 33.49 s it refused a connection, and its node counted it as ended and removed it from the range map. Another one was granted keys of it at 34.34 s, while its report at 34.36 s lists all of them; a third one was granted keys at 34.89 s on which it reported to be at work until 35.48 s. Its requests ran on kept connections all the while.

Fix: a refusal shows the end only of a backend server that is not leaving, and only if no other connection to it is open. A leaving one that refuses connections gets no further requests; its keys move when it reports their release or when its hold has ended.

Tests: MemberRegistryTest.RefusedConnectionToALeavingBackendServerDoesNotEndIt and RefusedConnectionBesideAnOpenOneDoesNotEndALife were run with the two conditions taken out and failed; RefusedConnectionTest.RefusalTellsWhetherAnotherConnectionIsOpen covers the gate's part.

--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -313,15 +313,18 @@
     m_isAnswering = false;
 }
 
-/// Whether the connection was started after everything that is known of the present life, so that its refusal shows the
-/// end of that one. The refusal is handled after heartbeats that arrived at the same time.
-bool announcement_service::isAboutPresent(const backend_question& question) const
+/// Whether the refusal shows the end of the present life. It is handled after heartbeats that arrived at the same time,
+/// so the connection has to be newer than all of them. A backend server that is shutting down stops listening while it
+/// still works on requests and holds keys.
+bool announcement_service::showsEnd(const backend_question& question) const
 {
     const auto& present = m_lives.present();
     return present && question.life == makeLife(present->stated.id, present->order)
-        && question.askedAt > m_lives.heardAt();
+        && question.askedAt > m_lives.heardAt() && !question.isStillConnected && !isDeparting();
 }
 
+bool announcement_service::isDeparting() const { return m_isLeaving || departedEarlier(); }
+
 void announcement_service::onBackendRefused(const backend_question& question)
 {
     const auto logEvidence = [&](log_event event) {
@@ -329,10 +332,15 @@
             { { "life", question.life }, { "evidence", std::string(toString(end_evidence::refused_connection)) },
                 { "address", toString(m_settings.backend) },
                 { "asked_ms_ago", millisecondsText(boot_clock::now() - question.askedAt) },
-                { "present_life", m_current ? m_current->life() : "" } });
+                { "present_life", m_current ? m_current->life() : "" }, { "leaving", isDeparting() ? "yes" : "no" },
+                { "still_connected", question.isStillConnected ? "yes" : "no" } });
     };
-    if (!isAboutPresent(question))
-        return logEvidence(log_event::evidence_outdated);
+    if (!showsEnd(question)) {
+        // No further request reaches a backend server that has stopped listening.
+        if (isDeparting())
+            m_gate.closeAt(boot_clock::now());
+        return logEvidence(log_event::evidence_ignored);
+    }
     m_lives.onPresentEnded();
     if (!m_current || std::exchange(m_hasEnded, true))
         return;
--- a/src/mesh/internal/announcement_service.h
+++ b/src/mesh/internal/announcement_service.h
@@ -65,7 +65,8 @@
         time_point receivedAt {};
     };
 
-    bool isAboutPresent(const backend_question&) const;
+    bool showsEnd(const backend_question&) const;
+    bool isDeparting() const;
     void handleDeparture(const std::string& id, http_exchange_ptr);
     void answerNotTaken(const backend_announcement&, heartbeat_verdict, const http_exchange_ptr&);
     void logOrder(heartbeat_verdict, const backend_announcement&) const;
--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -4,6 +4,8 @@
 #include "mesh/internal/message_memory.h"
 #include "telemetry/log_event.h"
 
+#include <algorithm>
+
 namespace heatherdrift {
 
 namespace {
@@ -335,6 +337,13 @@
         m_mostBytesAtBackend = std::max(m_mostBytesAtBackend, bytesAtBackend());
 }
 
+bool gate_service::isConnected() const
+{
+    return m_client->idleCount() > 0 || std::ranges::any_of(m_requests, [](const auto& entry) {
+        return entry.second.call && entry.second.call->hasWritten();
+    });
+}
+
 std::size_t gate_service::bytesAtBackend() const
 {
     std::size_t bytes = 0;
@@ -355,7 +364,7 @@
         m_health.withdrawStart(id);
     const auto fingerprint = found->second.fingerprint;
     if (response.has_error() && response.error().code == error_code::connection_refused)
-        m_hooks.onConnectionRefused({ found->second.life, found->second.startedAt });
+        m_hooks.onConnectionRefused({ found->second.life, found->second.startedAt, isConnected() });
     auto classified = classify(std::move(response));
     recordOutcome(fingerprint, classified, now);
     const bool isUsual = classified.outcome == verdict::ran && isSuccess(classified.response.head.status);
--- a/src/mesh/internal/gate_service.h
+++ b/src/mesh/internal/gate_service.h
@@ -109,6 +109,8 @@
     /// Returns of requests with a key.
     const return_counts& returnCounts() const { return m_returns.schedule().counts(); }
     const backend_health& health() const { return m_health; }
+    /// Whether a connection to the backend server is open.
+    bool isConnected() const;
     /// Bytes of the bodies of the requests that the backend server has been given and has not answered.
     std::size_t bytesAtBackend() const;
     /// The most of them at the same time, since the start of the process.
--- a/src/mesh/internal/life_evidence.h
+++ b/src/mesh/internal/life_evidence.h
@@ -20,6 +20,7 @@
 struct backend_question {
     life_name life; ///< The life that the node knew when it asked; empty if none.
     time_point askedAt {};
+    bool isStillConnected = false; ///< Other connections to the backend server were open when the refusal was handled.
 };
 
 /// A request to another node, whose response may show that the node is gone.
--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -197,7 +197,7 @@
         return;
     // The node may have been announced with another life or at another address since.
     const bool isPresent = peer->identity == question.identity;
-    logEvent(isPresent ? log_event::life_ended : log_event::evidence_outdated,
+    logEvent(isPresent ? log_event::life_ended : log_event::evidence_ignored,
         { { "life", isPresent ? peer->member.life : "" },
             { "evidence", std::string(toString(end_evidence::other_node)) }, { "node", question.node },
             { "address", toString(peer->member.address) },
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -55,6 +55,32 @@
         EXPECT_EQ(announcements.current()->id, "i2");
     }
 
+    // Guards against keys that are given to others while a backend server that leaves still holds them and works on
+    // requests for them: it refuses new connections before it ends.
+    TEST_F(MemberRegistryTest, RefusedConnectionToALeavingBackendServerDoesNotEndIt)
+    {
+        registry.onTableRead(1);
+        heartbeat();
+        store.answer(makeVersion(1, 50));
+        isDraining = true;
+        send({ "PUT", "/", {}, "" });
+        awaitLeaving();
+        store.answer(makeVersion(1, 51));
+        EXPECT_EQ(awaitStatus(), 200);
+        announcements.onBackendRefused({ announcements.current()->life(), boot_clock::now() });
+        EXPECT_FALSE(announcements.hasEnded());
+        EXPECT_TRUE(gate.isDraining());
+    }
+
+    // Guards against the same where the node does not know that the backend server leaves: a connection that is still
+    // open shows that it runs.
+    TEST_F(MemberRegistryTest, RefusedConnectionBesideAnOpenOneDoesNotEndALife)
+    {
+        heartbeat();
+        announcements.onBackendRefused({ announcements.current()->life(), boot_clock::now(), true });
+        EXPECT_FALSE(announcements.hasEnded());
+    }
+
     // Guards against keys that are taken from a backend server without waiting, because another node responds at the
     // address that its node had before: the question was sent before the node was announced at its present address.
     TEST_F(MemberRegistryTest, AnotherNodeAtAFormerAddressDoesNotEndThePresentLife)
@@ -119,6 +145,31 @@
         EXPECT_LE(refused->askedAt, after);
     }
 
+    // Guards against a refusal that seems to show the end of a backend server which still works on another request.
+    TEST_F(RefusedConnectionTest, RefusalTellsWhetherAnotherConnectionIsOpen)
+    {
+        gate->setBackend({ "i1@5", "i1", 2 });
+        int answers = 0;
+        const auto send = [&] {
+            routed_request request;
+            request.message = { "GET", "/", {}, "" };
+            request.service = "s";
+            request.deadline = request.objective = test_loop::farDeadline();
+            gate->execute(request, [&](const gate_answer&) { ++answers; });
+        };
+        std::vector<http_exchange_ptr> atWork;
+        auto listening = http_server::listen(loop.base(), settings.backend, {},
+            [&](http_exchange_ptr exchange) { atWork.push_back(std::move(exchange)); });
+        ASSERT_TRUE(listening.has_value());
+        send();
+        loop.runUntil([&] { return !atWork.empty(); });
+        listening.value()->stopListening();
+        send();
+        loop.runUntil([&] { return answers == 1; });
+        ASSERT_TRUE(refused);
+        EXPECT_TRUE(refused->isStillConnected);
+    }
+
     /// Two owners that share a store. The first has the node's real handling of heartbeats, and its backend server is
     /// started again as another life.
     class TwoOwnersTest : public testing::Test {
--- a/src/telemetry/internal/log_event.cpp
+++ b/src/telemetry/internal/log_event.cpp
@@ -142,9 +142,9 @@
             "A backend server counts as ended, so that its keys go to others at once; the line names the evidence." },
         { log_event::ended_life_continues, "ended_life_continues", log_level::error,
             "A backend server that counted as ended sends heartbeats." },
-        { log_event::evidence_outdated, "evidence_outdated", log_level::info,
-            "Evidence of the end of a backend server is about an earlier life or older than its last heartbeat, and is "
-            "ignored." },
+        { log_event::evidence_ignored, "evidence_ignored", log_level::info,
+            "Something that may show the end of a backend server is ignored: it is about an earlier life, older than a "
+            "heartbeat, or the backend server still runs." },
         { log_event::request_quarantined, "request_quarantined", log_level::warning,
             "A request was refused because requests with its content crashed backend servers." },
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", log_level::warning,
--- a/src/telemetry/log_event.h
+++ b/src/telemetry/log_event.h
@@ -88,7 +88,7 @@
     departure_undecided = 1816,
     life_ended = 1817,
     ended_life_continues = 1818,
-    evidence_outdated = 1819,
+    evidence_ignored = 1819,
     settings_reloaded = 1005,
     event_loop_late = 1006,
     peer_lost = 1702,
