Take no release that was sent before the last grant arrived

What callers could see: keys with two holders.

Cause: a release stays in heartbeats until one is acknowledged. If keys are granted again, and move on before the backend server has received that grant, the release that it repeats was taken for one of the last grant, which may still reach it.

Fix: a release of keys that the last answer contains is older than that answer and is dropped.

Test: HoldManagerTest.ReleaseSentBeforeTheLastGrantArrivedDoesNotReleaseItsKeys failed before.

--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -145,8 +145,9 @@
         return;
     ++m_reportCount;
     m_reported = report.holds;
-    for (const auto& range : report.released)
-        m_released.push_back(range);
+    // A release of keys that the last answer has granted is older than that answer.
+    std::ranges::copy_if(report.released, std::back_inserter(m_released),
+        [&](const auto& released) { return !anyIntersects(m_granted, released.keys); });
     // Drops releases of keys that this incarnation no longer owns or has to release according to the map.
     std::erase_if(m_released, [&](const auto& released) {
         return std::ranges::none_of(m_map.ranges(), [&](const auto& range) {
@@ -186,8 +187,9 @@
         || anyIntersects(m_previouslyGranted, keys);
 }
 
-/// Whether keys that a report has listed as released are not held any more. A range that was granted again is held once
-/// per token, and the end of the requests with a lower token is reported as a release of that token alone.
+/// Whether keys that a report has listed as released are not held any more. The backend server may hold keys more than
+/// once, since it keeps each grant until the requests that began with it have ended, and reports the end of each one as
+/// a release.
 bool hold_manager::isReleased(key_range keys) const
 {
     return !anyIntersects(m_granted, keys) && !anyIntersects(m_reported, keys);
--- a/src/ranges/tests/hold_manager_test.cpp
+++ b/src/ranges/tests/hold_manager_test.cpp
@@ -180,6 +180,27 @@
         EXPECT_EQ(released.find(250).handover, "higher");
     }
 
+    // Guards against a release that the backend server sent before it had received the last grant, which gave it the
+    // keys back.
+    TEST_F(HoldManagerTest, ReleaseSentBeforeTheLastGrantArrivedDoesNotReleaseItsKeys)
+    {
+        manager.startLife("a");
+        manager.confirm(owned, start);
+        reportAndGrant(start);
+        const auto moved = owned.assign({ 0, 99 }, "b", 2);
+        manager.confirm(moved, start);
+        reportAndGrant(start, { { all, 1 } });
+        manager.report({ "a", { { { 100, lastKey }, 1 } }, { { { 0, 99 }, "h" } } });
+        const auto back = manager.releaseUnheld(moved, start).assign({ 0, 99 }, "a", 3).release("b", { 0, 99 }, "");
+        manager.confirm(back, start);
+        ASSERT_EQ(manager.grant(start).ranges.size(), 2u);
+        const auto again = back.assign({ 0, 99 }, "b", 4);
+        manager.report({ "a", { { { 100, lastKey }, 1 } }, { { { 0, 99 }, "h" } } });
+        manager.confirm(again, start);
+        manager.grant(start);
+        EXPECT_EQ(manager.releaseUnheld(again, start), again);
+    }
+
     // Guards against keys granted on the word of an older copy of the map, which an incarnation of a lost map still
     // holds.
     TEST_F(HoldManagerTest, KeysWithAnUnknownHolderAreNotGranted)
