Conclude nothing about keys from a heartbeat without lists of keys

What callers could see: a backend server is granted keys on which another one is at work.

Cause: a heartbeat without the lists was taken as one that holds nothing. It comes from another writer, as every heartbeat of a partitioned service has both.

Fix: such a heartbeat is no report on keys; what the last one has said stands.

Test: HoldManagerTest.ReportWithoutListsReleasesNoKeys; the same report with empty lists failed it before.

--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -122,7 +122,7 @@
         m_isDraining = false;
         onPredecessorEnded(previous, end_evidence::later_life);
     }
-    m_holdManager.report({ life, announcement.holds, announcement.released });
+    m_holdManager.report({ life, announcement.holds, announcement.released, announcement.statesKeys });
     propose();
 }
 
--- a/src/mesh/platform_port.h
+++ b/src/mesh/platform_port.h
@@ -57,6 +57,7 @@
     bool isDraining = false;
     std::vector<held_range> holds;
     std::vector<released_range> released;
+    bool statesKeys = true; ///< False: it contains no lists of held and released keys, so nothing follows from them.
     duration coldFor {}; ///< How much longer the backend server tolerates only few requests.
 
     life_name life() const { return makeLife(id, startedAt); }
--- a/src/ranges/hold_manager.h
+++ b/src/ranges/hold_manager.h
@@ -39,6 +39,7 @@
     life_name life;
     std::vector<held_range> holds;
     std::vector<released_range> released;
+    bool isComplete = true; ///< False: it says nothing about keys.
 
     bool operator==(const hold_report&) const = default;
 };
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -141,7 +141,7 @@
 
 void hold_manager::report(const hold_report& report)
 {
-    if (report.life != m_life)
+    if (report.life != m_life || !report.isComplete)
         return;
     ++m_reportCount;
     m_reported = report.holds;
--- a/src/ranges/tests/hold_manager_test.cpp
+++ b/src/ranges/tests/hold_manager_test.cpp
@@ -201,6 +201,22 @@
         EXPECT_EQ(manager.releaseUnheld(again, start), again);
     }
 
+    // Guards against keys on which requests are at work that count as released: a report without lists of keys comes
+    // from another writer and says nothing about them.
+    TEST_F(HoldManagerTest, ReportWithoutListsReleasesNoKeys)
+    {
+        manager.startLife("a");
+        manager.confirm(owned, start);
+        reportAndGrant(start);
+        const auto moved = owned.assign({ 0, 99 }, "b", 2);
+        manager.confirm(moved, start);
+        reportAndGrant(start, { { all, 1 } });
+        reportAndGrant(start, { { { 0, 99 }, 1 }, { { 100, lastKey }, 1 } });
+        manager.report({ "a", {}, {}, false });
+        manager.grant(start);
+        EXPECT_EQ(manager.releaseUnheld(moved, start), moved);
+    }
+
     // Guards against keys granted on the word of an older copy of the map, which an incarnation of a lost map still
     // holds.
     TEST_F(HoldManagerTest, KeysWithAnUnknownHolderAreNotGranted)
