Grant a leaving backend server only the keys that it holds

A backend server that was leaving, and held nothing after the outage of the store, was granted 14 ranges at 32.92 s; it ended 3 s later, and they had to move again.

Cause: a grant contained all keys that the range map assigns to the life, whether it leaves or not.

Fix: while it leaves, a grant contains only what its last report lists as held.

--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -138,7 +138,7 @@
     if (m_endedLives.contains(m_holdManager.life()))
         return {};
     const auto before = m_holdManager.granted();
-    const auto grant = m_holdManager.grant(receivedAt);
+    const auto grant = m_holdManager.grant(receivedAt, m_isDraining ? grant_scope::held : grant_scope::owned);
     logGrant(grant, before, receivedAt);
     m_hooks.onChanged();
     return grant;
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -309,5 +309,21 @@
         EXPECT_FALSE(first.keys->grant(boot_clock::now()).isValid);
     }
 
+    // Guards against keys that a backend server is granted while it leaves, although it holds none: others get them
+    // when it ends.
+    TEST_F(TwoOwnersTest, LeavingLifeIsGrantedNothingThatItDoesNotHold)
+    {
+        heartbeat("i1", 5);
+        heartbeat("i1", 5);
+        ASSERT_EQ(firstGrant.ranges.size(), 1u);
+        first.keys->startDrain(); // The store does not answer the write that moves its keys.
+        backend_announcement announcement;
+        announcement.id = "i1";
+        announcement.startedAt = 5;
+        announcement.isDraining = true;
+        first.keys->handleHeartbeat(announcement);
+        EXPECT_TRUE(first.keys->grant(boot_clock::now()).ranges.empty());
+    }
+
 } // namespace
 } // namespace heatherdrift
--- a/src/ranges/hold_manager.h
+++ b/src/ranges/hold_manager.h
@@ -53,6 +53,11 @@
     bool operator==(const granted_range&) const = default;
 };
 
+enum class grant_scope {
+    owned, ///< All keys that the range map assigns to the incarnation.
+    held, ///< Of these, the ones that the incarnation has reported as held.
+};
+
 struct hold_grant {
     bool isValid = false; ///< False: no hold is renewed or revoked.
     std::vector<granted_range> ranges;
@@ -101,7 +106,7 @@
     /// Processes a report of the current incarnation; reports must arrive in the order in which they were sent.
     void report(const hold_report&);
     /// Creates the answer to the last report of the backend server.
-    hold_grant grant(time_point receivedAt);
+    hold_grant grant(time_point receivedAt, grant_scope = grant_scope::owned);
     /// Returns the map with the keys released that the current incarnation no longer holds; unchanged if there are
     /// none.
     range_map releaseUnheld(const range_map&, time_point now) const;
@@ -120,6 +125,8 @@
     void clearReports();
     time_point latestHoldEnd() const;
     duration holdDuration(time_point receivedAt) const;
+    /// Parts of the range that the last report lists as held, in order and without overlaps.
+    std::vector<key_range> reportedKeys(key_range) const;
     bool isHeld(key_range) const;
     bool isReleased(key_range) const;
     std::vector<key_range> provenKeys(const owned_range&) const;
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -159,7 +159,25 @@
         m_released.erase(m_released.begin(), m_released.end() - maxPendingReleases);
 }
 
-hold_grant hold_manager::grant(time_point receivedAt)
+std::vector<key_range> hold_manager::reportedKeys(key_range keys) const
+{
+    std::vector<key_range> parts;
+    for (const auto& held : m_reported) {
+        if (held.keys.intersects(keys))
+            parts.push_back(intersection(held.keys, keys));
+    }
+    std::ranges::sort(parts);
+    std::vector<key_range> out;
+    for (const auto& part : parts) {
+        if (!out.empty() && part.first <= out.back().last + 1)
+            out.back().last = std::max(out.back().last, part.last);
+        else
+            out.push_back(part);
+    }
+    return out;
+}
+
+hold_grant hold_manager::grant(time_point receivedAt, grant_scope scope)
 {
     hold_grant grant;
     grant.hold = holdDuration(receivedAt);
@@ -167,8 +185,11 @@
         return {};
     grant.isValid = true;
     for (const auto& range : m_map.ranges()) {
-        if (range.owner == m_life && range.releasing.empty())
-            grant.ranges.push_back({ range.keys, range.fence, range.handover });
+        if (range.owner == m_life && range.releasing.empty()) {
+            const auto parts = scope == grant_scope::owned ? std::vector { range.keys } : reportedKeys(range.keys);
+            for (const auto& keys : parts)
+                grant.ranges.push_back({ keys, range.fence, range.handover });
+        }
         for (const auto& keys : provenKeys(range))
             grant.ranges.push_back({ keys, range.fence, range.handover });
     }
--- a/src/ranges/tests/hold_manager_test.cpp
+++ b/src/ranges/tests/hold_manager_test.cpp
@@ -217,6 +217,21 @@
         EXPECT_EQ(manager.releaseUnheld(moved, start), moved);
     }
 
+    // Guards against keys that a backend server gets while it leaves: it ends a few seconds later, and its keys are
+    // assigned to others by then.
+    TEST_F(HoldManagerTest, LeavingIncarnationIsGrantedOnlyWhatItHolds)
+    {
+        manager.startLife("a");
+        manager.confirm(owned, start);
+        manager.report({ "a", { { { 50, 149 }, 1 }, { { 100, 199 }, 1 } }, {} });
+        const auto grant = manager.grant(start, grant_scope::held);
+        ASSERT_TRUE(grant.isValid);
+        ASSERT_EQ(grant.ranges.size(), 1u);
+        EXPECT_EQ(grant.ranges[0].keys, (key_range { 50, 199 }));
+        manager.report({ "a", {}, {} });
+        EXPECT_TRUE(manager.grant(start, grant_scope::held).ranges.empty());
+    }
+
     // Guards against keys granted on the word of an older copy of the map, which an incarnation of a lost map still
     // holds.
     TEST_F(HoldManagerTest, KeysWithAnUnknownHolderAreNotGranted)
