Keep an earlier life listed until its holds have ended, if only clocks show its end

What callers could see: two holders of keys that are on their way to another backend server.

Cause: a heartbeat of an unknown life with a later start replaces the present one. A late heartbeat of a dead life whose clock was ahead did so as well, and the life that runs was removed from the list of those that may still hold keys on their way to others.

Fix: by the order of lives alone, the successor takes over the keys that the earlier life owns, as before, but the earlier life stays listed where keys are on their way, until the holds that it may have been granted have ended. After a refused connection it is removed at once. A leaving successor waits as well.

--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -113,6 +113,7 @@
 {
     const auto life = announcement.life();
     // A life that counts as ended and is given keys all the same would lose and regain them with each write of the map.
+    m_holdEndOfEarlier.erase(life);
     if (m_endedLives.erase(life) > 0)
         logEvent(log_event::ended_life_continues,
             { { "life", life }, { "holds", std::to_string(announcement.holds.size()) } });
@@ -147,6 +148,7 @@
 void ownership::onBackendEnded(const life_name& life)
 {
     m_endedLives.insert(life);
+    m_holdEndOfEarlier.erase(life);
     if (m_holdManager.life() == life)
         m_holdManager.invalidateGrants();
     propose();
@@ -160,7 +162,9 @@
     logEvent(log_event::life_ended,
         { { "life", previous }, { "evidence", std::string(toString(evidence)) },
             { "present_life", m_holdManager.life() } });
-    m_endedLives.insert(previous);
+    // The order of lives rests on clocks that may be stepped.
+    if (m_endedLives.insert(previous).second)
+        m_holdEndOfEarlier[previous] = m_holdManager.holdEnd();
     m_previousLife = previous;
     propose();
 }
@@ -318,6 +322,7 @@
         std::erase_if(m_endedLives, [&](const auto& ended) { return !m_map.names(ended); });
     if (isMapOutdated())
         return firstMapOfEra(now);
+    std::erase_if(m_holdEndOfEarlier, [&](const auto& entry) { return now > entry.second; });
     range_edit withoutEnded(m_map);
     const auto& life = m_holdManager.life();
     const bool isLeaving = isMovingOut();
@@ -326,7 +331,11 @@
             continue;
         // Only a later life of the same backend server takes over its ranges unchanged.
         const bool hasSuccessor = !life.empty() && life != ended && !isLeaving && ended == m_previousLife;
-        withoutEnded.replace(ended, hasSuccessor ? life : life_name(), nextFence());
+        const bool mayHold = m_holdEndOfEarlier.contains(ended);
+        if (hasSuccessor && mayHold)
+            withoutEnded.succeed(ended, life, nextFence());
+        else if (!mayHold)
+            withoutEnded.replace(ended, hasSuccessor ? life : life_name(), nextFence());
     }
     range_map next = withoutEnded.finish();
     if (!life.empty()) {
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -90,7 +90,7 @@
     /// Called when the process of the backend server is certain to have ended.
     void onBackendEnded(const life_name&);
     /// Called when an earlier life of the backend server beside this node has ended. The present one takes over its
-    /// keys at once.
+    /// keys at once; those on their way to others wait for the end of its holds.
     void onPredecessorEnded(const life_name&, end_evidence);
     /// Called when the backend server of another node is certain to have ended.
     void onOtherBackendEnded(const life_name&);
@@ -187,7 +187,10 @@
     std::set<row_key> m_earlierRows; ///< Rows of earlier eras that exist in this one.
     bool m_isDraining = false;
     bool m_isEvacuated = false; ///< The operator has evacuated the zone, for all lives of the backend server.
-    std::set<life_name> m_endedLives; ///< Lives that are certain to have ended and may still be in the map.
+    std::set<life_name> m_endedLives; ///< Lives that have ended and may still be in the map.
+    /// Earlier lives beside this node that nothing but the order of lives shows to have ended, with the end of the
+    /// holds that they may have.
+    std::map<life_name, time_point> m_holdEndOfEarlier;
     std::map<fencing_token, time_point> m_firstSeenAt; ///< Time at which this process first saw an assignment.
     life_name m_previousLife; ///< Previous life of the backend server beside this node.
     bool m_isWriting = false;
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -325,5 +325,27 @@
         EXPECT_TRUE(first.keys->grant(boot_clock::now()).ranges.empty());
     }
 
+    // Guards against two holders of keys on their way to another owner: a late heartbeat of an earlier life whose clock
+    // was ahead counts as a later life, which does not show that the one that runs has ended.
+    TEST_F(TwoOwnersTest, LateHeartbeatWithAClockAheadDoesNotReleaseKeysOnTheirWay)
+    {
+        heartbeat("i1", 5);
+        heartbeat("i1", 5);
+        ASSERT_EQ(firstGrant.ranges.size(), 1u);
+        const auto holdEnd = firstHoldEnd;
+        const row_key row { "ranges", "s@1" };
+        const auto map = range_map::fromJson(*store.current(row).value).value();
+        store.apply({ {}, { { row, 0, map.assign({ 0, 99 }, "i9@1", makeVersion(1, 90), 3675).toJson() } } });
+        for (auto* one : { &first, &second })
+            one->keys->onRowChanged(store.current(row));
+        ASSERT_FALSE(secondGetsKeys());
+        next.holds.clear();
+        heartbeat("i0", 9);
+        while (boot_clock::now() < holdEnd) {
+            ASSERT_FALSE(secondGetsKeys()) << "while the hold of the first owner lasts";
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+    }
+
 } // namespace
 } // namespace heatherdrift
--- a/src/ranges/internal/range_edit.cpp
+++ b/src/ranges/internal/range_edit.cpp
@@ -69,6 +69,15 @@
         m_isModified = range.replaceLife(ended, successor, fence) || m_isModified;
 }
 
+void range_edit::succeed(const life_name& earlier, const life_name& successor, fencing_token fence)
+{
+    if (!m_isModified && !m_base.hasOwner(earlier))
+        return;
+    copyRanges();
+    for (auto& [first, range] : m_ranges)
+        m_isModified = range.succeedLife(earlier, successor, fence) || m_isModified;
+}
+
 range_map range_edit::finish() const
 {
     if (!m_isModified)
--- a/src/ranges/internal/range_map.cpp
+++ b/src/ranges/internal/range_map.cpp
@@ -179,13 +179,17 @@
     bool isChanged = std::erase(releasing, ended) > 0;
     if (isChanged && releasing.empty())
         silenceMs = 0;
-    if (owner == ended) {
-        owner = successor;
-        fence = newFence;
-        handover.clear();
-        isChanged = true;
-    }
-    return isChanged;
+    return succeedLife(ended, successor, newFence) || isChanged;
+}
+
+bool owned_range::succeedLife(const life_name& earlier, const life_name& successor, fencing_token newFence)
+{
+    if (owner != earlier)
+        return false;
+    owner = successor;
+    fence = newFence;
+    handover.clear();
+    return true;
 }
 
 range_map::range_map()
--- a/src/ranges/range_edit.h
+++ b/src/ranges/range_edit.h
@@ -17,6 +17,9 @@
     void release(const life_name&, key_range, const std::string& handover);
     void releaseAll(key_range);
     void replace(const life_name& ended, const life_name& successor, fencing_token);
+    /// Assigns the keys of an earlier incarnation of a backend server to its successor. It stays listed where keys are
+    /// on their way from it to others.
+    void succeed(const life_name& earlier, const life_name& successor, fencing_token);
 
     /// The map with all modifications so far; the one that the edit began with if there was none.
     range_map finish() const;
--- a/src/ranges/range_map.h
+++ b/src/ranges/range_map.h
@@ -59,6 +59,7 @@
     bool releaseFrom(const life_name&, const std::string& newHandover);
     bool releaseFromAll();
     bool replaceLife(const life_name& ended, const life_name& successor, fencing_token);
+    bool succeedLife(const life_name& earlier, const life_name& successor, fencing_token);
 };
 
 /// Owners of all keys of a service, as ordered ranges without gaps. Immutable: modifications return a new map. Copies
