Extend no holds by promises while a write of an earlier process may take effect

What callers could see: two backend servers hold the same keys, after a node was restarted while the store was slow or away.

Cause: owners without the store extend their holds if all other owners of the map promise to take nothing over. A node whose own write has an unknown outcome asks for no promises, as such a write may give keys to a backend server that owned none, which is not asked and waits only for a lease. A process that was restarted did not know the write of the one before it and extended the holds all the same, by up to 8 s beyond the lease.

Evidence: by reading and by a test.

Fix: promises that were asked for within 8 s of the start (the time in which such a write can take effect, as for the promises that a node gives) extend nothing while the map is still that of the first read of the table. A write of the earlier process cannot change a later map, nor the row of a later era of the store.

Tests: OwnershipCallsTest.PromisesExtendNoHoldsWhileAWriteOfAnEarlierProcessMayTakeEffect failed before; PromisesForAMapOfThisProcessExtendHolds is its limit and passed before.

--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -152,6 +152,8 @@
     /// Time since the store confirmed the present map, if recent enough to be passed on to other owners.
     std::optional<duration> recentlyChecked() const;
     map_statement promise(const map_question&);
+    /// Whether a write that an earlier process of this node made of the present map may take effect at this time.
+    bool mayEarlierProcessWrite(time_point) const;
     void handleWriteFailure(const failure&, store_era);
     void logGrant(const hold_grant&, const std::vector<granted_range>& before, time_point receivedAt) const;
     void logWrite(const range_map& written, row_version) const;
@@ -178,6 +180,7 @@
     range_history m_history;
     row_version m_version = 0;
     bool m_isTableRead = false;
+    row_version m_versionAtStart = 0; ///< Of the map when the table was first read.
     store_era m_era = noEra; ///< Latest known era of the store.
     bool m_isRestored = false; ///< The store has come back from a copy since this process started.
     time_point m_eraNotedAt; ///< Start of this process, or the last restore that it has learned of.
--- a/src/mesh/internal/ownership_confirmation.cpp
+++ b/src/mesh/internal/ownership_confirmation.cpp
@@ -83,8 +83,17 @@
     m_holdManager.confirm(m_map, at);
 }
 
+/// The owners that promise do not include one that gets keys by such a write and does not wait for a promise to end.
+bool ownership::mayEarlierProcessWrite(time_point at) const
+{
+    const bool isNamedByEarlier = !m_isTableRead || m_version == m_versionAtStart;
+    return isNamedByEarlier && !isMapOutdated() && at < m_startedAt + lateWriteTime;
+}
+
 void ownership::onPromised(time_point askedAt)
 {
+    if (mayEarlierProcessWrite(askedAt))
+        return;
     m_confirmedBy = "promises";
     m_holdManager.extend(askedAt);
     m_hooks.onChanged();
--- a/src/mesh/internal/ownership_era.cpp
+++ b/src/mesh/internal/ownership_era.cpp
@@ -88,7 +88,8 @@
 void ownership::onTableRead(store_era era)
 {
     noteEra(era);
-    m_isTableRead = true;
+    if (!std::exchange(m_isTableRead, true))
+        m_versionAtStart = m_version;
 }
 
 bool ownership::isFirstOwner() const
--- a/src/mesh/tests/ownership_calls_test.cpp
+++ b/src/mesh/tests/ownership_calls_test.cpp
@@ -167,5 +167,44 @@
         EXPECT_TRUE(keys.map().hasOwner(life(2)));
     }
 
+    // Guards against two backend servers that hold the same keys: a write that moves keys of this one was on its way
+    // when its node was restarted. The new process extended the holds by promises while the write took effect, and the
+    // new owner, which owned nothing before and is not asked for a promise, waited only for a lease.
+    TEST_F(OwnershipCallsTest, PromisesExtendNoHoldsWhileAWriteOfAnEarlierProcessMayTakeEffect)
+    {
+        heartbeat();
+        const row_key row { "ranges", "service@1" };
+        store.apply({ {}, { { row, 0, range_map().assign({ 0, lastKey }, life(2), 1).toJson() } } });
+        keys.onRowChanged(store.current(row));
+        keys.onTableRead(1);
+        keys.onConfirmed(now);
+        now += seconds(4);
+        keys.onPromised(now);
+        EXPECT_FALSE(keys.grant(now).isValid);
+        now += seconds(5);
+        keys.onConfirmed(now);
+        now += seconds(4);
+        keys.onPromised(now);
+        EXPECT_TRUE(keys.grant(now).isValid) << "such a write would have taken effect by now";
+    }
+
+    // Guards against holds that lapse without need in the same time: a write of the earlier process cannot change a map
+    // that was written after this process had read the table.
+    TEST_F(OwnershipCallsTest, PromisesForAMapOfThisProcessExtendHolds)
+    {
+        heartbeat();
+        const row_key row { "ranges", "service@1" };
+        const auto map = range_map().assign({ 0, lastKey }, life(2), 1);
+        store.apply({ {}, { { row, 0, map.toJson() } } });
+        keys.onRowChanged(store.current(row));
+        keys.onTableRead(1);
+        store.apply({ {}, { { row, 0, map.assign({ 0, 99 }, life(1), 2).toJson() } } });
+        keys.onRowChanged(store.current(row));
+        keys.onConfirmed(now);
+        now += seconds(4);
+        keys.onPromised(now);
+        EXPECT_TRUE(keys.grant(now).isValid);
+    }
+
 } // namespace
 } // namespace heatherdrift
