Keep the keys of a backend server whose node is announced again

What callers could see: two backend servers hold the same keys, and a map that is written again and again.

Cause: when another node responds at a node's address, its backend server counts as ended, so that its keys need no silence. This was never taken back for the backend server of another node. If its node was announced again with the same life, at another address, other nodes gave it keys, and this one took them away at once without waiting for the end of its hold. For the backend server beside the node a heartbeat ends that state.

Evidence: by reading and by a test.

Fix: a row of the node with a later version than the one that was known at the time of the evidence ends that state. Rows that are read again do not. The worst effect of a late row is that the keys need their silence.

Test: MemberRegistryTest.NodeThatIsAnnouncedAgainKeepsItsKeys failed before.

--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -95,6 +95,11 @@
     m_directory.setRowVersion(node, row.version);
     if (isRemovalUndone)
         m_directory.requireAnswer(node, boot_clock::now());
+    if (const auto replaced = m_replacedAt.find(node);
+        replaced != m_replacedAt.end() && row.version > replaced->second) {
+        m_replacedAt.erase(replaced);
+        m_ownership.onOtherBackendAnnounced(member.value().life);
+    }
     checkAddress(member.value());
 }
 
@@ -205,8 +210,10 @@
             { "present_life", peer->member.life } });
     if (!isPresent)
         return m_probe(question.node);
-    if (peer->member.service == m_settings.service && !peer->member.life.empty())
+    if (peer->member.service == m_settings.service && !peer->member.life.empty()) {
+        m_replacedAt[question.node] = peer->rowVersion;
         m_ownership.onOtherBackendEnded(peer->member.life);
+    }
     removeLost(question.node);
 }
 
--- a/src/mesh/internal/member_registry.h
+++ b/src/mesh/internal/member_registry.h
@@ -62,6 +62,8 @@
     row_version m_ownRowVersion = 0; ///< Last known version of this node's row.
     /// Versions of the rows of a restored table that were not applied because they may be older than what is known.
     std::map<instance_id, row_version> m_outdatedRows;
+    /// Versions of the rows of nodes at whose address another node has responded.
+    std::map<instance_id, row_version> m_replacedAt;
     bool m_isRead = false;
     std::optional<mesh_member> m_published;
     bool m_hasPublished = false; ///< The row of an earlier process has been replaced.
--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -171,6 +171,12 @@
     propose();
 }
 
+void ownership::onOtherBackendAnnounced(const life_name& life)
+{
+    if (m_endedLives.erase(life) > 0)
+        logEvent(log_event::ended_life_continues, { { "life", life }, { "holds", "unknown" } });
+}
+
 void ownership::startDrain()
 {
     m_isDraining = true;
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -94,6 +94,8 @@
     void onPredecessorEnded(const life_name&, end_evidence);
     /// Called when the backend server of another node is certain to have ended.
     void onOtherBackendEnded(const life_name&);
+    /// Called when the node of a backend server that counted as ended has been announced again.
+    void onOtherBackendAnnounced(const life_name&);
     /// Assigns the keys of the draining backend server to others.
     void startDrain();
     /// During an evacuation, assigns the keys of the backend server to the candidates, unless it is one itself. Keys
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -79,6 +79,27 @@
         EXPECT_NE(directory.find("n3"), nullptr);
     }
 
+    // Guards against keys that are taken from a backend server again and again without waiting: another node had
+    // responded at the address of its node, which has been announced again since, at another address.
+    TEST_F(MemberRegistryTest, NodeThatIsAnnouncedAgainKeepsItsKeys)
+    {
+        const life_name life = "i3@4";
+        registry.onRowChanged(row(member("n3", 2, life), 30));
+        registry.onNodeReplaced(directory.question("n3", boot_clock::now()));
+        registry.onRowChanged(row(member("n3", 2, life), 30)); // As the table is read again.
+        const auto version = makeVersion(1, 40);
+        keys.adoptNewer(range_map().assign({ 0, lastKey }, life, 1), version);
+        keys.onTableRead(1);
+        keys.advance();
+        ASSERT_EQ(store.writes.size(), 1u) << "its keys need no silence";
+        store.answer(makeVersion(1, 41));
+        registry.onRowChanged(row(member("n3", 3, life), 50));
+        keys.adoptNewer(range_map().assign({ 0, lastKey }, life, 2), makeVersion(1, 60));
+        keys.advance();
+        EXPECT_EQ(store.writes.size(), 1u);
+        EXPECT_TRUE(keys.map().hasOwner(life));
+    }
+
     /// A gate whose backend server's address refuses connections.
     class RefusedConnectionTest : public testing::Test {
     protected:
