Count a lost request only for the life that it was sent to

What callers could see: a request is refused as one that crashes backend servers, after fewer crashes than three.

Cause: the loss of a request that was sent to one life was handled after the announcement of the next one, and was held against that one: at its end, which may be an ordinary one, the request counted as the cause of a second crash.

Evidence: by reading and by a test.

Fix: losses with an earlier life are not recorded. That life's end has been recorded already, with the losses that were known by then; how many are late on a loaded node was not measured.

Test: RefusedConnectionTest.RequestThatWasLostWithAnEarlierLifeIsNoCrashOfThePresentOne failed before.

--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -357,7 +357,10 @@
     if (response.has_error() && response.error().code == error_code::connection_refused)
         m_hooks.onConnectionRefused({ found->second.life, found->second.startedAt });
     auto classified = classify(std::move(response));
-    recordOutcome(fingerprint, classified, now);
+    const bool isLostWithEarlierLife
+        = classified.outcome == verdict::may_have_run && found->second.life != m_backend.life;
+    if (!isLostWithEarlierLife)
+        recordOutcome(fingerprint, classified, now);
     const bool isUsual = classified.outcome == verdict::ran && isSuccess(classified.response.head.status);
     const auto serviceTime = now - found->second.startedAt;
     if (isUsual) {
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -140,6 +140,37 @@
         EXPECT_LE(refused->askedAt, after);
     }
 
+    // Guards against a request that is refused too early, since one crash counts twice: the loss of the request is
+    // handled after the next life was announced, and counted as a crash of that one.
+    TEST_F(RefusedConnectionTest, RequestThatWasLostWithAnEarlierLifeIsNoCrashOfThePresentOne)
+    {
+        const auto crashing = loop.listen([](const http_exchange_ptr& exchange) { exchange->abort(); });
+        settings.backend = crashing->address();
+        std::vector<backend_crash> crashes;
+        gate_hooks hooks { [](key_number) { return key_access::serve; }, [] { return std::int64_t { 0 }; },
+            [] { return std::optional<table_statements>(); }, [](const backend_question&) {} };
+        hooks.onCrashed = [&](const backend_crash& crash) { crashes.push_back(crash); };
+        gate = std::make_unique<gate_service>(loop.base(), settings, port, hooks);
+        const auto loseRequest = [&](const std::function<void()>& meanwhile) {
+            routed_request request;
+            request.message = { "GET", "/", {}, "" };
+            request.service = "s";
+            request.deadline = request.objective = test_loop::farDeadline();
+            bool isAnswered = false;
+            gate->execute(request, [&](const gate_answer&) { isAnswered = true; });
+            meanwhile();
+            loop.runUntil([&] { return isAnswered; });
+        };
+        gate->setBackend({ "i1@5", "i1", 1 });
+        loseRequest([&] { gate->setBackend({ "i2@9", "i2", 1 }); });
+        gate->setBackend({ "i3@12", "i3", 1 });
+        EXPECT_TRUE(crashes.empty());
+        loseRequest([] {});
+        gate->setBackend({});
+        ASSERT_EQ(crashes.size(), 1u);
+        EXPECT_EQ(crashes[0].life, "i3@12");
+    }
+
     /// Two owners that share a store. The first has the node's real handling of heartbeats, and its backend server is
     /// started again as another life.
     class TwoOwnersTest : public testing::Test {
