Grant keys only in response to heartbeats of the life that owns them

What callers could see: a backend server is granted the keys of a later life, with its tokens.

Cause: the response to a heartbeat in which a life leaves waits up to 0.8 s for the write of the departure. It was made for the life that was present by then.

Evidence: by reading and by a test. It matters where the order of lives was wrong: a life that has ended takes no response.

Fix: the waiting response remembers the life of its heartbeat, and contains no keys if another one is present.

Test: TwoOwnersTest.ResponseToAHeartbeatDoesNotGrantTheKeysOfALaterLife failed before.

--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -182,7 +182,7 @@
     std::erase_if(remaining, [&](const auto& departure) {
         if (isDepartureRecorded(departure.id)) {
             departure.exchange->respond(
-                departure.isHeartbeat ? heartbeatAnswer(departure.receivedAt) : http_response { { statusOk, {} }, "" });
+                departure.isHeartbeat ? heartbeatAnswer(departure) : http_response { { statusOk, {} }, "" });
             return true;
         }
         if (now < departure.receivedAt + maxRecordingDelay)
@@ -222,12 +222,15 @@
         m_hooks.onChanged();
         return exchange->respond({ { statusUnavailable, {} }, "" });
     }
-    acknowledgeWhenRecorded({ id, std::move(exchange), false, now });
+    acknowledgeWhenRecorded({ id, std::move(exchange), false, now, {} });
 }
 
-http_response announcement_service::heartbeatAnswer(time_point receivedAt)
+http_response announcement_service::heartbeatAnswer(const unacknowledged_departure& departure)
 {
-    return m_port.encodeGrant(m_hooks.isPartitioned() ? m_ownership.grant(receivedAt) : hold_grant {});
+    // A later life may have been announced while the response waited.
+    const bool isPresent = departure.life == m_ownership.life();
+    return m_port.encodeGrant(
+        m_hooks.isPartitioned() && isPresent ? m_ownership.grant(departure.receivedAt) : hold_grant {});
 }
 
 void announcement_service::logOrder(heartbeat_verdict verdict, const backend_announcement& announcement) const
@@ -286,7 +289,7 @@
     // The life is recorded even before the configuration shows that the service is partitioned.
     m_ownership.handleHeartbeat(announcement);
     if (m_isLeaving && !isDepartureRecorded(announcement.id))
-        return acknowledgeWhenRecorded({ announcement.id, std::move(exchange), true, now });
+        return acknowledgeWhenRecorded({ announcement.id, std::move(exchange), true, now, announcement.life() });
     if (!m_hooks.isPartitioned())
         return exchange->respond(m_port.encodeGrant({}));
     m_deferredExchange = std::move(exchange);
--- a/src/mesh/internal/announcement_service.h
+++ b/src/mesh/internal/announcement_service.h
@@ -63,6 +63,7 @@
         http_exchange_ptr exchange;
         bool isHeartbeat = false; ///< The response to a heartbeat may contain keys.
         time_point receivedAt {};
+        life_name life; ///< That sent the heartbeat; a notice names none.
     };
 
     bool isAboutPresent(const backend_question&) const;
@@ -74,7 +75,7 @@
     void closeNow();
     void startLeaving();
     void answerDeferred();
-    http_response heartbeatAnswer(time_point receivedAt);
+    http_response heartbeatAnswer(const unacknowledged_departure&);
     /// Whether the backend server of this id has departed without having been announced to this process.
     bool hasDeparted(const std::string& id) const;
     bool isDepartureRecorded(const std::string& id) const;
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -299,6 +299,30 @@
         }
     }
 
+    // Guards against keys of one life that are granted to another one: the response to a heartbeat in which the first
+    // one leaves waits for a write, and was made for the life that was present at its end.
+    TEST_F(TwoOwnersTest, ResponseToAHeartbeatDoesNotGrantTheKeysOfALaterLife)
+    {
+        heartbeat("i1", 5);
+        heartbeat("i1", 5);
+        next.isDraining = true;
+        ++next.sequence;
+        bool isAnswered = false;
+        const auto client = http_client::create(loop.base(), server->address(), 1);
+        fetch(*client, { "PUT", "/", {}, "" }, test_loop::farDeadline(), 1 << 20,
+            [&](const result<http_response>&) { isAnswered = true; });
+        loop.runUntil([this] { return announcements->hasUnacknowledgedDeparture(); });
+        next.isDraining = false;
+        next.holds.clear();
+        heartbeat("i2", 9);
+        heartbeat("i2", 9);
+        ASSERT_FALSE(isAnswered);
+        firstGrant = {};
+        announcements->onTableRead();
+        loop.runUntil([&] { return isAnswered; });
+        EXPECT_FALSE(firstGrant.isValid);
+    }
+
     // Guards against a grant to a life that has ended since it sent the heartbeat: its keys are given to others without
     // waiting for the end of that hold.
     TEST_F(TwoOwnersTest, LifeThatHasEndedIsNotGrantedKeys)
