Keep the gate closed for a departed backend server that counted as ended

What callers could see: requests are sent to a backend server whose departure was acknowledged.

Cause: a refused connection takes the backend server from the gate, which forgets the end of its drain time with it. A late heartbeat of the same life puts it back. The node knew that the life was leaving and therefore did not close the gate a second time.

Evidence: by reading and by a test.

Fix: the time at which the gate closes is kept beside the life and set again with it.

Test: MemberRegistryTest.HeartbeatAfterARefusedConnectionDoesNotUndoADeparture failed before.

--- a/src/mesh/internal/announcement_service.cpp
+++ b/src/mesh/internal/announcement_service.cpp
@@ -45,10 +45,16 @@
     if (std::exchange(m_isLeaving, true))
         return;
     logEvent(log_event::drain_started, { { "backend_server", m_current->id } });
-    m_gate.closeAt(boot_clock::now() + m_settings.drainTime - drainMargin);
+    closeGateAt(boot_clock::now() + m_settings.drainTime - drainMargin);
     m_ownership.startDrain();
 }
 
+void announcement_service::closeGateAt(time_point at)
+{
+    m_gateClosesAt = std::min(m_gateClosesAt, at);
+    m_gate.closeAt(m_gateClosesAt);
+}
+
 void announcement_service::updateCurrent(const backend_announcement& announcement)
 {
     const bool isNewLife = !m_current || m_current->life() != announcement.life();
@@ -56,14 +62,18 @@
         logEvent(log_event::backend_announced,
             { { "backend_server", announcement.id }, { "started_at", std::to_string(announcement.startedAt) } });
         m_isLeaving = false;
+        m_gateClosesAt = time_point::max();
     }
     m_current = announcement;
     m_hasEnded = false;
     m_gate.setBackend({ announcement.life(), announcement.id, announcement.slots });
+    // The gate forgets the departure of a life that counted as ended.
+    if (m_isLeaving)
+        m_gate.closeAt(m_gateClosesAt);
     m_gate.recordHeartbeat(announcement.coldFor);
     const bool isLateHeartbeat = isNewLife && hasDeparted(announcement.id);
     if (isLateHeartbeat)
-        m_gate.closeAt(m_earlyDeparture->closesAt);
+        closeGateAt(m_earlyDeparture->closesAt);
     if (isNewLife)
         m_earlyDeparture.reset();
     if (announcement.isDraining || isLateHeartbeat)
@@ -75,7 +85,7 @@
 
 void announcement_service::closeNow()
 {
-    m_gate.closeAt(boot_clock::now());
+    closeGateAt(boot_clock::now());
     startLeaving();
 }
 
--- a/src/mesh/internal/announcement_service.h
+++ b/src/mesh/internal/announcement_service.h
@@ -73,6 +73,7 @@
     void updateCurrent(const backend_announcement&);
     void discardCurrent();
     void closeNow();
+    void closeGateAt(time_point);
     void startLeaving();
     void answerDeferred();
     http_response heartbeatAnswer(const unacknowledged_departure&);
@@ -97,6 +98,7 @@
     std::vector<unacknowledged_departure> m_unacknowledged;
     timer m_departureTimer;
     bool m_isLeaving = false;
+    time_point m_gateClosesAt = time_point::max(); ///< For the present life.
     bool m_hasEnded = false;
     http_exchange_ptr m_deferredExchange; ///< Heartbeat whose response is delayed until imminent grants are made.
     time_point m_deferredSince {};
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -100,6 +100,29 @@
         EXPECT_TRUE(keys.map().hasOwner(life));
     }
 
+    // Guards against requests to a backend server that has left: a late heartbeat of the same life arrived after a
+    // connection to it was refused, and opened the gate again.
+    TEST_F(MemberRegistryTest, HeartbeatAfterARefusedConnectionDoesNotUndoADeparture)
+    {
+        registry.onTableRead(1);
+        heartbeat();
+        store.answer(makeVersion(1, 50));
+        isDraining = true;
+        send({ "PUT", "/", {}, "" });
+        awaitLeaving();
+        store.answer(makeVersion(1, 51));
+        EXPECT_EQ(awaitStatus(), 200);
+        std::this_thread::sleep_for(milliseconds(1));
+        announcements.onBackendRefused({ announcements.current()->life(), boot_clock::now() });
+        ASSERT_TRUE(announcements.hasEnded());
+        heartbeat();
+        EXPECT_TRUE(gate.isDraining());
+        startedAt = 6;
+        isDraining = false;
+        heartbeat();
+        EXPECT_FALSE(gate.isDraining()) << "a later life has not left";
+    }
+
     /// A gate whose backend server's address refuses connections.
     class RefusedConnectionTest : public testing::Test {
     protected:
