Remove the row of a lost node only if it is the known one

What callers could see: a node that has come back gets no requests, and its keys go to others, until it has written its row again.

Cause: the row of a lost node is removed up to 8 s after the loss was noticed, whatever the row is by then. A node that does not know of a newer row yet, as one that was cut off, removed that one.

Evidence: by reading and by a test.

Fix: the removal names the version that was known when the node was missed, and the store rejects it for a later row, which the watch then delivers. Versions of an earlier era of the store are not named, since a restore changes them.

Test: MemberRegistryTest.RowThatWasWrittenAgainIsNotRemovedBeforeItIsKnown failed before.

--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -67,7 +67,7 @@
         return ownRowChanged(row);
     }
     // Another node has removed the row, or the node has written it again.
-    m_removalsDueAt.erase(node);
+    m_removals.erase(node);
     if (!row.value) {
         m_outdatedRows.erase(node);
         return m_directory.remove(node);
@@ -226,38 +226,45 @@
 void member_registry::removeLost(const instance_id& node)
 {
     const auto delay = removalDelay(m_directory.peers().size(), m_random());
-    m_removalsDueAt.try_emplace(node, boot_clock::now() + delay);
+    const auto* peer = m_directory.find(node);
+    const auto outdated = m_outdatedRows.find(node);
+    const auto version = std::max(peer ? peer->rowVersion : 0, outdated == m_outdatedRows.end() ? 0 : outdated->second);
+    m_removals.try_emplace(node, row_removal { boot_clock::now() + delay, version });
     m_directory.remove(node);
     scheduleRemovals();
 }
 
 void member_registry::scheduleRemovals()
 {
-    if (m_removalsDueAt.empty())
+    if (m_removals.empty())
         return m_removalTimer.stop();
-    const auto next = std::ranges::min_element(m_removalsDueAt, {}, [](const auto& entry) { return entry.second; });
-    m_removalTimer.startAt(next->second);
+    const auto next = std::ranges::min_element(m_removals, {}, [](const auto& entry) { return entry.second.dueAt; });
+    m_removalTimer.startAt(next->second.dueAt);
 }
 
 void member_registry::writeDueRemovals()
 {
     const auto now = boot_clock::now();
-    std::vector<instance_id> due;
-    for (const auto& [node, at] : m_removalsDueAt) {
-        if (at <= now)
-            due.push_back(node);
+    std::map<instance_id, row_version> due;
+    for (const auto& [node, removal] : m_removals) {
+        if (removal.dueAt <= now)
+            due.emplace(node, removal.version);
     }
-    for (const auto& node : due) {
-        m_removalsDueAt.erase(node);
-        writeRemoval(node);
+    for (const auto& [node, version] : due) {
+        m_removals.erase(node);
+        writeRemoval(node, version);
     }
     scheduleRemovals();
 }
 
-void member_registry::writeRemoval(const instance_id& node)
+void member_registry::writeRemoval(const instance_id& node, row_version version)
 {
     logEvent(log_event::member_removed, { { "node", node } });
     conditional_write change;
+    // A row that was written meanwhile stays and is delivered by the watch. Versions change with a restore of the
+    // store.
+    if (version > 0 && eraOf(version) == m_era)
+        change.checks.push_back({ { table, node }, version });
     change.changes.push_back({ { table, node }, 0, std::nullopt });
     change.changes.push_back({ { table, lastRemovalKey }, 0, node });
     m_store.write(std::move(change), boot_clock::now() + writeTimeout, [node](const result<write_outcome>& outcome) {
--- a/src/mesh/internal/member_registry.h
+++ b/src/mesh/internal/member_registry.h
@@ -42,6 +42,11 @@
     static constexpr const char* table = "heatherdrift-members"; ///< Keyed by instance.
 
 private:
+    struct row_removal {
+        time_point dueAt {};
+        row_version version = 0; ///< Last known one.
+    };
+
     void ownRowChanged(const row_change&);
     void adoptEarlierRow(const row_change&);
     void publishAgain();
@@ -49,7 +54,8 @@
     void logOutdated(const row_change&) const;
     void scheduleRemovals();
     void writeDueRemovals();
-    void writeRemoval(const instance_id&);
+    /// Removes the row if it still has this version.
+    void writeRemoval(const instance_id&, row_version);
 
     const mesh_settings& m_settings;
     watched_store& m_store;
@@ -70,7 +76,7 @@
     bool m_isPublishing = false;
     time_point m_publishDueAt {}; ///< From this time on the row is written even without a heartbeat.
     timer m_publishRetry;
-    std::map<instance_id, time_point> m_removalsDueAt; ///< Nodes whose rows this node is going to remove.
+    std::map<instance_id, row_removal> m_removals; ///< Rows of lost nodes that this node is going to remove.
     random_function m_random;
     timer m_removalTimer;
 };
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -123,6 +123,30 @@
         EXPECT_FALSE(gate.isDraining()) << "a later life has not left";
     }
 
+    // Guards against the removal of a row that a node has written again: the removal waits up to eight seconds, and
+    // the node that removes the row may not have learned of the newer one.
+    TEST_F(MemberRegistryTest, RowThatWasWrittenAgainIsNotRemovedBeforeItIsKnown)
+    {
+        simulated_store table;
+        const row_key key { member_registry::table, "n2" };
+        const auto write = [&](const life_name& life) {
+            table.apply({ {}, { { key, 0, toJson(member("n2", 2, life)) } } });
+        };
+        write("i2@7");
+        registry.onTableRead(1);
+        registry.onRowChanged(table.current(key));
+        registry.removeLost("n2");
+        write("i2@8");
+        loop.runUntil([this] { return !store.writes.empty(); });
+        EXPECT_FALSE(table.apply(store.writes.back()).isApplied);
+        EXPECT_TRUE(table.current(key).value);
+        registry.onRowChanged(table.current(key));
+        registry.removeLost("n2");
+        loop.runUntil([this] { return store.writes.size() == 2; });
+        EXPECT_TRUE(table.apply(store.writes.back()).isApplied);
+        EXPECT_FALSE(table.current(key).value);
+    }
+
     /// A gate whose backend server's address refuses connections.
     class RefusedConnectionTest : public testing::Test {
     protected:
