Write the row of a node again that was removed after it was written

What callers could see: a node gets no requests, and its keys go to others, until its row changes for another reason.

Cause: the watch of the table may report the removal of a row by another node before the response to the write that came before the removal. The older response then replaced the news, and the node took its row for written.

Evidence: by reading and by a test.

Fix: if a later version of the own row is known when the response arrives, the row is written again. This ends, as each write gets a later version. The departure in such a row is not acknowledged before.

Test: MemberRegistryTest.RowThatIsRemovedBeforeItsWriteIsAnsweredIsWrittenAgain failed before.

--- a/src/mesh/internal/member_registry.cpp
+++ b/src/mesh/internal/member_registry.cpp
@@ -323,6 +323,9 @@
                 m_publishRetry.startOnce(writeBackoff);
                 return;
             }
+            // The row was changed again after this write, and its watch was faster than the response.
+            if (m_ownRowVersion > outcome.value().version)
+                return publish();
             m_published = member;
             m_announcements.onRowWritten(member);
             publish();
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -123,6 +123,22 @@
         EXPECT_FALSE(gate.isDraining()) << "a later life has not left";
     }
 
+    // Guards against a node that is missing from the table: its row was removed after it was written, and the node
+    // learned of the removal before the response to the write.
+    TEST_F(MemberRegistryTest, RowThatIsRemovedBeforeItsWriteIsAnsweredIsWrittenAgain)
+    {
+        registry.onTableRead(1);
+        heartbeat();
+        ASSERT_EQ(store.writes.size(), 1u);
+        registry.onRowChanged(written(makeVersion(1, 50)));
+        registry.onRowChanged(missing("n1", makeVersion(1, 51)));
+        store.answer(makeVersion(1, 50));
+        ASSERT_EQ(store.writes.size(), 2u);
+        EXPECT_EQ(written(52).value, toJson(registry.ownMember()));
+        store.answer(makeVersion(1, 52));
+        EXPECT_EQ(store.writes.size(), 2u);
+    }
+
     // Guards against the removal of a row that a node has written again: the removal waits up to eight seconds, and
     // the node that removes the row may not have learned of the newer one.
     TEST_F(MemberRegistryTest, RowThatWasWrittenAgainIsNotRemovedBeforeItIsKnown)
