Count failures only for the address that the request was sent to

What callers could see: a node that was announced at another address counts as unreachable there for a moment, so that its keys are given to others after their silence.

Cause: failures of pings and entry calls were counted for the node by its name. Those of requests to the former address end up to a second after the announcement of the present one, and two of them make a node unreachable.

Evidence: by reading and by a test with a ping; the entry call has the same line.

Fix: a failure counts only if the node still has the identity that the request was sent to, as for the response of another node.

Test: MemberRegistryTest.FailureAtAFormerAddressSaysNothingAboutThePresentOne failed before.

--- a/src/mesh/internal/entry_call.cpp
+++ b/src/mesh/internal/entry_call.cpp
@@ -187,7 +187,8 @@
     const auto current = **found;
     const auto now = boot_clock::now();
     if (response.has_error()) {
-        m_context.directory.recordFailure(current.node, response.error().code, now);
+        if (m_context.directory.isAboutPresent({ current.node, current.identity, current.startedAt }))
+            m_context.directory.recordFailure(current.node, response.error().code, now);
         // A second probe distinguishes a lost instance from a single lost packet.
         if (response.error().code == error_code::unreachable)
             m_context.probe(current.node);
--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -254,6 +254,12 @@
     return { node, peer ? peer->identity : 0, now };
 }
 
+bool mesh_directory::isAboutPresent(const peer_question& question) const
+{
+    const auto* peer = find(question.node);
+    return peer && peer->identity == question.identity;
+}
+
 void mesh_directory::recordAnswer(const instance_id& node, const std::optional<gate_load>& load, time_point now)
 {
     const auto found = m_peers.find(node);
--- a/src/mesh/internal/mesh_directory.h
+++ b/src/mesh/internal/mesh_directory.h
@@ -72,6 +72,8 @@
     http_client& client(const instance_id&);
     /// What a request that is sent to the node now asks about.
     peer_question question(const instance_id&, time_point now) const;
+    /// Whether the node still has the life and the address that the request was sent to.
+    bool isAboutPresent(const peer_question&) const;
     /// Load balancer for the backend servers of a service that is not partitioned.
     load_view& view(const std::string& service);
     /// Null if there is none yet.
--- a/src/mesh/internal/peer_watch.cpp
+++ b/src/mesh/internal/peer_watch.cpp
@@ -83,8 +83,11 @@
         [this, node, askedAt, question = m_directory.question(node, askedAt)](const result<http_response>& answer) {
             m_pendingPings.erase(node);
             const auto now = boot_clock::now();
-            if (answer.has_error())
-                return m_directory.recordFailure(node, answer.error().code, now);
+            if (answer.has_error()) {
+                if (m_directory.isAboutPresent(question))
+                    m_directory.recordFailure(node, answer.error().code, now);
+                return;
+            }
             if (answer.value().head.status == statusOtherNode)
                 return m_hooks.onReplaced(question);
             const auto decoded = decodeAnswer(answer.value());
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -1,3 +1,4 @@
+#include "mesh/internal/peer_watch.h"
 #include "mesh/tests/member_registry_fixture.h"
 #include "mesh/tests/simulated_store.h"
 #include "mesh/tests/test_port.h"
@@ -163,6 +164,26 @@
         EXPECT_FALSE(table.current(key).value);
     }
 
+    // Guards against a node that counts as unreachable at its present address, because requests to its former address
+    // fail.
+    TEST_F(MemberRegistryTest, FailureAtAFormerAddressSaysNothingAboutThePresentOne)
+    {
+        std::vector<http_exchange_ptr> unanswered;
+        const auto silent = loop.listen([&](http_exchange_ptr exchange) { unanswered.push_back(std::move(exchange)); });
+        registry.onRowChanged(row(member("n3", silent->address().port, "i3@4"), 30));
+        peer_watch watch { loop.base(), settings, directory,
+            { [](const peer_question&) {}, [](const instance_id&) {}, [] { return false; },
+                [](const instance_id&, const table_statements&, time_point) {}, {} } };
+        watch.probe("n3");
+        loop.runUntil([&] { return !unanswered.empty(); });
+        registry.onRowChanged(row(member("n3", 1, "i3@4"), 31));
+        bool isOver = false; // Later than the timeout of a ping.
+        timer end(loop.base(), [&] { isOver = true; });
+        end.startOnce(milliseconds(600));
+        loop.runUntil([&] { return isOver; });
+        EXPECT_EQ(directory.find("n3")->failures, 0);
+    }
+
     /// A gate whose backend server's address refuses connections.
     class RefusedConnectionTest : public testing::Test {
     protected:
