Count loads and statuses only for the life that stated them

What callers could see: worse choices for a moment after a backend server was replaced: the new one counts as draining, as loaded or as fast, because of the one before it.

Cause: a response that was made before the announcement of a later life and arrives after it was counted for that life, with its drain, demand and status, and the status was passed on under the name of the later life. The load that was known before the announcement stayed as well.

Evidence: by reading and by tests.

Fix: a load that names another life than the directory is not counted, and the load is forgotten with its life. That the node has responded still counts. A load without a life, as before the first heartbeat, counts as before.

Tests: MeshDirectoryTest.LoadOfAnEarlierLifeSaysNothingAboutThePresentOne and LoadIsForgottenWithItsLife failed before.

--- a/src/mesh/internal/mesh_directory.cpp
+++ b/src/mesh/internal/mesh_directory.cpp
@@ -89,6 +89,10 @@
         peer.failingSince = time_point::max();
         peer.silences = 0;
     }
+    if (peer.member.life != member.life) {
+        peer.load = {};
+        peer.loadAt = time_point::min();
+    }
     if (peer.identity == 0 || peer.member.life != member.life || peer.member.address != member.address)
         peer.identity = ++m_lastIdentity;
     peer.member = member;
@@ -272,7 +276,9 @@
     peer.silences = 0;
     if (std::exchange(peer.isLossLogged, false))
         logEvent(log_event::peer_regained, { { "node", node } });
-    if (!load)
+    // The request may have been answered before the present life was announced, or the node's row is late.
+    const bool isOfOtherLife = load && !load->life.empty() && load->life != peer.member.life;
+    if (!load || isOfOtherLife)
         return;
     peer.load = *load;
     peer.loadAt = now;
--- a/src/mesh/tests/mesh_directory_test.cpp
+++ b/src/mesh/tests/mesh_directory_test.cpp
@@ -97,6 +97,42 @@
         EXPECT_EQ(directory.findLife("n3@1"), nullptr);
     }
 
+    // Guards against a backend server that counts as draining, or is chosen by a status and a demand, because of the
+    // one before it: the response to a request that was sent to that one arrived after the announcement of the next
+    // one.
+    TEST_F(MeshDirectoryTest, LoadOfAnEarlierLifeSaysNothingAboutThePresentOne)
+    {
+        gate_load load;
+        load.life = "n2@1";
+        load.isDraining = true;
+        load.demand = 3;
+        load.status.emplace();
+        mesh_member member = directory.find("n2")->member;
+        member.life = "n2@2";
+        directory.update(member, start);
+        directory.recordAnswer("n2", load, start);
+        EXPECT_EQ(directory.find("n2")->answeredAt, start);
+        EXPECT_EQ(directory.find("n2")->loadAt, time_point::min());
+        EXPECT_EQ(directory.knownStatuses(start)["s"], 0u);
+        EXPECT_FALSE(directory.find("n2")->load.isDraining);
+    }
+
+    // Guards against the same where the response arrived before the announcement.
+    TEST_F(MeshDirectoryTest, LoadIsForgottenWithItsLife)
+    {
+        gate_load load;
+        load.life = "n2@1";
+        load.isDraining = true;
+        directory.recordAnswer("n2", load, start);
+        mesh_member member = directory.find("n2")->member;
+        directory.update(member, start);
+        EXPECT_TRUE(directory.find("n2")->load.isDraining);
+        member.life = "n2@2";
+        directory.update(member, start);
+        EXPECT_FALSE(directory.find("n2")->load.isDraining);
+        EXPECT_EQ(directory.find("n2")->loadAt, time_point::min());
+    }
+
     // Guards against requests for an evacuated zone, against servers that are lost to the choice after its return, and
     // against keyed requests that are refused before the keys could move.
     TEST_F(MeshDirectoryTest, ServersOfEvacuatedZonesAreNotPicked)
