Hold a write of unknown outcome against the map that it was made for

What callers could see: keys without an owner while the store is away, although all other owners could promise.

Cause: a node neither asks for promises nor gives any while a write of unknown outcome may change the present map. It took the map that was present at the end of the write. A map that was learned while the write was on its way was blocked instead until the next one, although such a write cannot change it.

Evidence: by reading and by a test.

Fix: the write remembers the version that it was made for.

Test: OwnershipCallsTest.WriteOfUnknownOutcomeSaysNothingAboutALaterMap failed before.

--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -203,12 +203,12 @@
     propose();
 }
 
-void ownership::handleWriteFailure(const failure& reason, store_era era)
+void ownership::handleWriteFailure(const failure& reason, store_era era, row_version base)
 {
     // A write of an earlier era only changes a row that is no longer in use.
     if (era == m_era) {
         if (reason.outcome != verdict::not_run)
-            m_unresolvedVersion = m_version;
+            m_unresolvedVersion = base;
         // A write whose response was lost may still take effect. The table watch then delivers it, and a later write
         // conflicts with it.
         m_mayWriteAt = m_hooks.now() + writeBackoff;
@@ -371,21 +371,20 @@
         for (const auto& row : m_earlierRows)
             change.changes.push_back({ row, 0, std::nullopt });
     }
-    m_store.write(
-        std::move(change), now + writeTimeout, [this, map = *next, era = m_era, now](result<write_outcome> outcome) {
-            handleWriteResult(map, era, now, std::move(outcome));
-        });
+    m_store.write(std::move(change), now + writeTimeout,
+        [this, map = *next, era = m_era, base = m_version, now](
+            result<write_outcome> outcome) { handleWriteResult(map, era, base, now, std::move(outcome)); });
 }
 
 void ownership::handleWriteResult(
-    const range_map& proposed, store_era era, time_point sentAt, result<write_outcome> outcome)
+    const range_map& proposed, store_era era, row_version base, time_point sentAt, result<write_outcome> outcome)
 {
     m_isWriting = false;
     if (outcome.has_error())
-        return handleWriteFailure(outcome.error(), era);
+        return handleWriteFailure(outcome.error(), era, base);
     if (eraOf(outcome.value().version) > era)
         return handleWriteFailure(
-            mayHaveRun(error_code::store_restored, "the row of an earlier era of the store was written"), era);
+            mayHaveRun(error_code::store_restored, "the row of an earlier era of the store was written"), era, base);
     if (!outcome.value().isApplied) {
         adoptCurrent(outcome.value(), sentAt);
         backOff();
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -147,7 +147,9 @@
     range_map coordinate(const range_map&, time_point now);
     range_map balance(const range_map&, time_point now);
     void propose();
-    void handleWriteResult(const range_map& proposed, store_era, time_point sentAt, result<write_outcome>);
+    /// `base`: version of the map that the write was made for.
+    void handleWriteResult(
+        const range_map& proposed, store_era, row_version base, time_point sentAt, result<write_outcome>);
     /// Checks at the store whether the map is current. Checks requested meanwhile share the response.
     void checkMap(std::function<void(bool isCurrent)>);
     void handleCheckResult(row_version, time_point sentAt, const result<write_outcome>&);
@@ -156,7 +158,7 @@
     map_statement promise(const map_question&);
     /// Whether a write that an earlier process of this node made of the present map may take effect at this time.
     bool mayEarlierProcessWrite(time_point) const;
-    void handleWriteFailure(const failure&, store_era);
+    void handleWriteFailure(const failure&, store_era, row_version base);
     void logGrant(const hold_grant&, const std::vector<granted_range>& before, time_point receivedAt) const;
     void logWrite(const range_map& written, row_version) const;
     void logMap(const range_map&, row_version, bool isOwnCall) const;
--- a/src/mesh/tests/ownership_calls_test.cpp
+++ b/src/mesh/tests/ownership_calls_test.cpp
@@ -188,6 +188,24 @@
         EXPECT_TRUE(keys.grant(now).isValid) << "such a write would have taken effect by now";
     }
 
+    // Guards against holds that lapse while the store is away, because a write of unknown outcome is held against a map
+    // that was learned after it was sent. Such a write can only change the map that it was made for.
+    TEST_F(OwnershipCallsTest, WriteOfUnknownOutcomeSaysNothingAboutALaterMap)
+    {
+        heartbeat();
+        const auto map = range_map().assign({ 0, 30000 }, life(1), 1).assign({ 30001, lastKey }, life(2), 2);
+        storeMap(map);
+        keys.startDrain();
+        ASSERT_EQ(client.queue.size(), 1u);
+        const auto write = client.queue.front();
+        client.queue.clear();
+        storeMap(map.assign({ 0, 99 }, life(3), 3));
+        write.done(mayHaveRun(error_code::store_unavailable, "lost"));
+        for (int i = 0; i < 20; ++i, now += milliseconds(100))
+            keys.advance(); // The store does not answer.
+        EXPECT_GE(roundsToAll, 1);
+    }
+
     // Guards against holds that lapse without need in the same time: a write of the earlier process cannot change a map
     // that was written after this process had read the table.
     TEST_F(OwnershipCallsTest, PromisesForAMapOfThisProcessExtendHolds)
