Count no witness as missing a holder that it has heard

What callers could see: an instance that runs is fenced and loses its partitions. Two holders did not follow, since a takeover waits for promises and the last grants.

Cause: an inquiry kept the first report of silence of a witness, also if the same witness reported contact. Reports name no inquiry, so that a late one of an earlier inquiry counted in the present one.

Evidence: by reading and by a test.

Fix: a report of contact counts against all reports of silence of the same witness in that inquiry, in either order.

Test: Takeover.CountsNoWitnessThatHasHeardTheHolder failed before.

--- a/src/lease/internal/takeover.cpp
+++ b/src/lease/internal/takeover.cpp
@@ -92,7 +92,11 @@
     if (report.holder != m_start.holder)
         return;
     m_answered.insert(report.witness);
-    if (report.silentFor >= m_settings.confirmedSilence())
+    // Reports may be late and out of order, and only one of contact shows that the holder runs.
+    if (report.silentFor < m_settings.confirmedSilence()) {
+        m_heard.insert(report.witness);
+        m_silent.erase(report.witness);
+    } else if (!m_heard.contains(report.witness))
         m_silent.insert(report.witness);
     checkInquiry(now);
 }
@@ -244,6 +248,7 @@
 {
     m_stage = takeover_stage::inquiring;
     m_silent.clear();
+    m_heard.clear();
     m_answered.clear();
     countTerminatedWitnesses();
     for (const auto& witness : witnesses()) {
--- a/src/lease/takeover.h
+++ b/src/lease/takeover.h
@@ -131,6 +131,7 @@
     bool m_isOwnRead = false;
     std::vector<instance_ref> m_firstWitnesses; ///< Of the first read; only for lease_mutations::staleWitnessSet.
     std::set<instance_ref> m_silent; ///< Witnesses for which the holder is silent.
+    std::set<instance_ref> m_heard; ///< Witnesses that have heard the holder, by a report to the present inquiry.
     std::set<instance_ref> m_answered;
     promise_quorum m_quorum;
     termination_record m_terminations;
--- a/src/lease/tests/takeover_test.cpp
+++ b/src/lease/tests/takeover_test.cpp
@@ -167,6 +167,25 @@
         EXPECT_TRUE(test.all<commit_row>().empty());
     }
 
+    // Guards against fencing an instance that a witness has heard: its report of silence was an answer to an earlier
+    // inquiry, or was made before a renewal that arrived since.
+    TEST(Takeover, CountsNoWitnessThatHasHeardTheHolder)
+    {
+        const instance_ref c { "c", 1 };
+        const instance_ref d { "d", 1 };
+        for (const bool isSilentFirst : { true, false }) {
+            fixture test({ self, a, b, c, d });
+            test.start();
+            test.reportSilence(a, isSilentFirst ? 5000 : 10);
+            test.reportSilence(a, isSilentFirst ? 10 : 5000);
+            test.reportSilence(b, 5000);
+            EXPECT_EQ(test.machine.stage(), takeover_stage::inquiring);
+            EXPECT_TRUE(test.all<commit_row>().empty());
+            test.reportSilence(c, 5000);
+            EXPECT_EQ(test.all<commit_row>().size(), 1u);
+        }
+    }
+
     // Guards against hazard (c) of docs/ownership.md: two instances that are each other's witness fence each other.
     TEST(Takeover, TwoInstancesCannotFenceEachOther)
     {
