Repeat missed crash reports also if a later report was taken

What callers could see: a request that crashes backend servers runs once more at a node that was cut off for a second.

Cause: a node that has not taken a report in spite of repetitions gets all known crashes later. If it took the report of a later crash before, it counted as up to date, although that report has only the later crash.

Evidence: by reading and by a test.

Fix: only a report with all crashes that were known when the node missed the last one shows that it is up to date.

Test: CrashExchangeTest.LaterReportDoesNotStandForTheOneThatWasMissed failed before.

--- a/src/mesh/internal/crash_exchange.cpp
+++ b/src/mesh/internal/crash_exchange.cpp
@@ -5,6 +5,7 @@
 #include "telemetry/log_event.h"
 
 #include <algorithm>
+#include <set>
 
 namespace heatherdrift {
 
@@ -159,7 +160,7 @@
 {
     const auto body = toJson(report);
     for (const auto& node : otherNodes())
-        send({ node, 0, body, report.crashes });
+        send({ node, 0, body, report.crashes, time_point::min() });
 }
 
 void crash_exchange::send(unsent_report report)
@@ -172,7 +173,9 @@
     fetchWithProgress(client, std::move(request), limits,
         [this, report = std::move(report)](const result<http_response>& answer) mutable {
             if (answer.has_value() && answer.value().head.status == 200) {
-                m_behind.erase(report.node);
+                const auto behind = m_behind.find(report.node);
+                if (behind != m_behind.end() && behind->second <= report.completeAt)
+                    m_behind.erase(behind);
                 return handleReply(report.crashes, answer.value().body);
             }
             if (++report.attempts < maxAttempts) {
@@ -181,7 +184,7 @@
                     m_resend.startOnce(resendDelay);
                 return;
             }
-            m_behind.insert(report.node);
+            m_behind[report.node] = boot_clock::now();
             if (!m_missedTimer.isPending())
                 m_missedTimer.startOnce(missedInterval);
         });
@@ -196,12 +199,12 @@
 /// A node that was cut off for longer gets all known crashes once it answers again.
 void crash_exchange::sendMissed()
 {
-    std::erase_if(m_behind, [this](const auto& node) { return !m_directory.find(node); });
+    std::erase_if(m_behind, [this](const auto& entry) { return !m_directory.find(entry.first); });
     const auto now = boot_clock::now();
     const auto crashes = m_suspects.crashes();
-    for (const auto& node : m_behind) {
+    for (const auto& [node, missedAt] : m_behind) {
         if (!m_directory.isUnreachable(*m_directory.find(node), now))
-            send({ node, maxAttempts - 1, toJson({ crashes, {} }), crashes });
+            send({ node, maxAttempts - 1, toJson({ crashes, {} }), crashes, now });
     }
     if (!m_behind.empty() && !m_missedTimer.isPending())
         m_missedTimer.startOnce(missedInterval);
--- a/src/mesh/internal/crash_exchange.h
+++ b/src/mesh/internal/crash_exchange.h
@@ -5,7 +5,7 @@
 #include "http/http_server.h"
 #include "mesh/internal/mesh_directory.h"
 
-#include <set>
+#include <map>
 
 namespace heatherdrift {
 
@@ -48,6 +48,7 @@
         int attempts = 0;
         std::string body;
         std::vector<backend_crash> crashes;
+        time_point completeAt = time_point::min(); ///< It has all crashes known at this time; min(): only some.
     };
 
     std::vector<instance_id> otherNodes() const;
@@ -68,7 +69,8 @@
     crash_suspects& m_suspects;
     std::vector<unsent_report> m_unsent;
     timer m_resend;
-    std::set<instance_id> m_behind; ///< Nodes that have not taken a report in spite of repetitions.
+    /// Nodes that have not taken a report in spite of repetitions, and the time of the last one.
+    std::map<instance_id, time_point> m_behind;
     timer m_missedTimer;
     int m_questions = 0;
     int m_replies = 0;
--- a/src/mesh/tests/crash_exchange_test.cpp
+++ b/src/mesh/tests/crash_exchange_test.cpp
@@ -146,6 +146,23 @@
         loop.runUntil([&] { return isRefused(nodes[3], lethal); });
     }
 
+    // Guards against a node that never learns of a crash: it did not take the report of that one, but the report of a
+    // later one, which counted as if the node had caught up.
+    TEST_F(CrashExchangeTest, LaterReportDoesNotStandForTheOneThatWasMissed)
+    {
+        nodes[3].refusedMessages = 4;
+        nodes[0].exchange->onCrash({ "life-0", { lethal } });
+        loop.runUntil([&] { return nodes[3].messages == 4; });
+        loop.runReady();
+        nodes[0].exchange->onCrash({ "life-1", { popular } });
+        bool isOver = false; // Twice the time between attempts to reach a node that is behind.
+        timer end(loop.base(), [&] { isOver = true; });
+        end.startOnce(std::chrono::seconds(4));
+        loop.runUntil([&] { return isOver || nodes[3].suspects.crashCount(lethal) == 1; });
+        EXPECT_EQ(nodes[3].suspects.crashCount(lethal), 1u);
+        EXPECT_EQ(nodes[3].suspects.crashCount(popular), 1u);
+    }
+
     // Guards against several nodes that try a refused request at the same time, each with a crash of its own.
     TEST_F(CrashExchangeTest, TrialCountsAsACrashAtAllNodesUntilItIsAnswered)
     {
