Suspect a backend server only if a connection to it was lost

What callers could see: after a restart of a backend server that is warm, requests wait as for a cold one until its next health check or heartbeat.

Cause: a lost connection makes the state of the backend server unknown. The loss of a connection to the life before is handled after the heartbeat of the present one, and was held against that one.

Evidence: by reading and by a test.

Fix: the loss counts only if the request was sent to the present life, as for crashes.

Test: RefusedConnectionTest.LostConnectionToAnEarlierLifeSaysNothingAboutThePresentOne failed before.

--- a/src/mesh/internal/gate_service.cpp
+++ b/src/mesh/internal/gate_service.cpp
@@ -350,16 +350,15 @@
         return;
     const auto now = boot_clock::now();
     const std::string detail = response.has_error() ? response.error().message : "";
-    const bool isConnectionLost = response.has_error() && isLoss(response.error().code);
+    const bool isOfPresentLife = found->second.life == m_backend.life;
+    const bool mayHaveEnded = response.has_error() && isLoss(response.error().code) && isOfPresentLife;
     if (isUncounted(response))
         m_health.withdrawStart(id);
     const auto fingerprint = found->second.fingerprint;
     if (response.has_error() && response.error().code == error_code::connection_refused)
         m_hooks.onConnectionRefused({ found->second.life, found->second.startedAt });
     auto classified = classify(std::move(response));
-    const bool isLostWithEarlierLife
-        = classified.outcome == verdict::may_have_run && found->second.life != m_backend.life;
-    if (!isLostWithEarlierLife)
+    if (classified.outcome != verdict::may_have_run || isOfPresentLife)
         recordOutcome(fingerprint, classified, now);
     const bool isUsual = classified.outcome == verdict::ran && isSuccess(classified.response.head.status);
     const auto serviceTime = now - found->second.startedAt;
@@ -380,7 +379,7 @@
                 { "waiting", std::to_string(m_queue.waiting()) } });
     }
     answer(id, std::move(classified));
-    if (isConnectionLost)
+    if (mayHaveEnded)
         m_health.suspect();
     runNext();
 }
--- a/src/mesh/tests/life_evidence_test.cpp
+++ b/src/mesh/tests/life_evidence_test.cpp
@@ -255,6 +255,36 @@
         EXPECT_EQ(crashes[0].life, "i3@12");
     }
 
+    // Guards against a backend server that is sent fewer requests as a cold one, because a connection to the life
+    // before it was lost. Its own heartbeat has stated since that it is not cold.
+    TEST_F(RefusedConnectionTest, LostConnectionToAnEarlierLifeSaysNothingAboutThePresentOne)
+    {
+        const auto crashing = loop.listen([](const http_exchange_ptr& exchange) { exchange->abort(); });
+        settings.backend = crashing->address();
+        gate = std::make_unique<gate_service>(loop.base(), settings, port,
+            gate_hooks { [](key_number) { return key_access::serve; }, [] { return std::int64_t { 0 }; },
+                [] { return std::optional<table_statements>(); }, [](const backend_question&) {} });
+        service_definition service;
+        service.coldRequestsPerSecond = 5;
+        service.coldStart = seconds(5);
+        gate->configure(service);
+        gate->setBackend({ "i1@5", "i1", 1 });
+        gate->recordHeartbeat(duration());
+        routed_request request;
+        request.message = { "GET", "/", {}, "" };
+        request.service = "s";
+        request.deadline = request.objective = test_loop::farDeadline();
+        bool isAnswered = false;
+        gate->execute(request, [&](const gate_answer&) { isAnswered = true; });
+        gate->setBackend({ "i2@9", "i2", 1 });
+        gate->recordHeartbeat(duration());
+        ASSERT_TRUE(gate->load().status);
+        ASSERT_FALSE(gate->load().status->cold);
+        loop.runUntil([&] { return isAnswered; });
+        loop.runReady();
+        EXPECT_FALSE(gate->load().status->cold);
+    }
+
     /// Two owners that share a store. The first has the node's real handling of heartbeats, and its backend server is
     /// started again as another life.
     class TwoOwnersTest : public testing::Test {
