Count no report against a grant that it may precede

What callers could see: a backend server is granted keys on which another one is still at work (OWNER).

Cause: a report may have been sent before the response to an earlier one arrived. It then repeats a release of keys that this response grants again, or does not list them. If the keys move away in that time, the release of their earlier hold was recorded as one of the new hold. The last two responses were taken into account for keys that are not listed, and only the last one for keys that are listed as released; but a backend server that releases keys sends a heartbeat every 100 ms and takes responses for a second.

Fix: keys that the response before did not grant count as held until a report lists them with their new token, or until the hold of their grant has run out. The sequence of reports decides, no assumption on their delay is made.

Cost: if the response with such a grant is lost, or its keys are left out again before a report lists them, and they move away at once, the next owner waits for the end of that hold.

--- a/src/ranges/hold_manager.h
+++ b/src/ranges/hold_manager.h
@@ -116,11 +116,20 @@
     const std::vector<granted_range>& granted() const { return m_granted; }
 
 private:
+    /// Keys of a grant that the one before it did not contain.
+    struct unconfirmed_grant {
+        key_range keys;
+        fencing_token fence = 0;
+        time_point holdEnd {}; ///< By a slow clock.
+    };
+
     void clearReports();
     time_point latestHoldEnd() const;
     duration holdDuration(time_point receivedAt) const;
-    bool isHeld(key_range) const;
-    bool isReleased(key_range) const;
+    void recordNewGrants(const hold_grant&, time_point holdEnd);
+    bool isUnconfirmed(key_range, time_point now) const;
+    bool isHeld(key_range, time_point now) const;
+    bool isReleased(key_range, time_point now) const;
     std::vector<key_range> provenKeys(const owned_range&) const;
 
     hold_terms m_terms;
@@ -134,6 +143,8 @@
     std::vector<granted_range> m_granted; ///< Granted by the last answer.
     /// Granted by the answer before the last one; the last report may have been sent before the last answer arrived.
     std::vector<granted_range> m_previouslyGranted;
+    /// Reports may have been sent before these grants arrived, until one lists the keys with the new token.
+    std::vector<unconfirmed_grant> m_unconfirmed;
     std::vector<key_range> m_heldAtEraStart;
     std::vector<held_range> m_reported;
     std::vector<released_range> m_released;
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -28,6 +28,23 @@
         return { std::max(left.first, right.first), std::min(left.last, right.last) };
     }
 
+    /// Cuts the keys out of all entries that the predicate selects.
+    template <typename Entries, typename Predicate>
+    void removeKeys(Entries& entries, key_range keys, Predicate isSelected)
+    {
+        Entries rests;
+        for (const auto& entry : entries) {
+            if (!entry.keys.intersects(keys) || !isSelected(entry))
+                continue;
+            if (entry.keys.first < keys.first)
+                rests.emplace_back(entry).keys.last = keys.first - 1;
+            if (keys.last < entry.keys.last)
+                rests.emplace_back(entry).keys.first = keys.last + 1;
+        }
+        std::erase_if(entries, [&](const auto& entry) { return entry.keys.intersects(keys) && isSelected(entry); });
+        entries.insert(entries.end(), rests.begin(), rests.end());
+    }
+
 } // namespace
 
 std::string_view toString(release_basis basis)
@@ -79,6 +96,7 @@
 {
     m_granted.clear();
     m_previouslyGranted.clear();
+    m_unconfirmed.clear();
     m_heldAtEraStart.clear();
     m_reported.clear();
     m_released.clear();
@@ -145,6 +163,8 @@
         return;
     ++m_reportCount;
     m_reported = report.holds;
+    for (const auto& held : m_reported)
+        removeKeys(m_unconfirmed, held.keys, [&](const auto& entry) { return entry.fence <= held.fence; });
     for (const auto& range : report.released)
         m_released.push_back(range);
     // Drops releases of keys that this incarnation no longer owns or has to release according to the map.
@@ -173,24 +193,52 @@
     }
     // Granted keys are held again, so earlier releases of them are void.
     std::erase_if(m_released, [&](const auto& released) { return anyIntersects(grant.ranges, released.keys); });
+    const auto holdEnd = receivedAt + std::chrono::ceil<duration>(grant.hold / (1 - m_terms.clockDrift));
+    std::erase_if(m_unconfirmed, [&](const auto& entry) { return receivedAt > entry.holdEnd; });
+    recordNewGrants(grant, holdEnd);
     m_previouslyGranted = std::exchange(m_granted, grant.ranges);
     m_serveEnd = std::max(m_serveEnd, receivedAt + grant.hold);
-    const auto bySlowClock = std::chrono::ceil<duration>(grant.hold / (1 - m_terms.clockDrift));
-    m_holdEnd = std::max(m_holdEnd, receivedAt + bySlowClock);
+    m_holdEnd = std::max(m_holdEnd, holdEnd);
     return grant;
 }
 
-bool hold_manager::isHeld(key_range keys) const
+void hold_manager::recordNewGrants(const hold_grant& grant, time_point holdEnd)
+{
+    for (auto& entry : m_unconfirmed) {
+        if (anyIntersects(grant.ranges, entry.keys))
+            entry.holdEnd = std::max(entry.holdEnd, holdEnd);
+    }
+    for (const auto& range : grant.ranges) {
+        if (std::ranges::find(m_granted, range) != m_granted.end())
+            continue;
+        std::vector<unconfirmed_grant> added { { range.keys, range.fence, holdEnd } };
+        for (const auto& before : m_granted)
+            removeKeys(added, before.keys, [](const auto&) { return true; });
+        for (const auto& entry : added)
+            removeKeys(m_unconfirmed, entry.keys, [&](const auto& earlier) { return earlier.holdEnd <= holdEnd; });
+        m_unconfirmed.insert(m_unconfirmed.end(), added.begin(), added.end());
+    }
+}
+
+/// Whether keys were granted by a response that may not have arrived when the last report was sent. Until then a report
+/// neither lists them as held nor are the releases in it those of this grant.
+bool hold_manager::isUnconfirmed(key_range keys, time_point now) const
+{
+    return std::ranges::any_of(
+        m_unconfirmed, [&](const auto& entry) { return now <= entry.holdEnd && entry.keys.intersects(keys); });
+}
+
+bool hold_manager::isHeld(key_range keys, time_point now) const
 {
-    return anyIntersects(m_reported, keys) || anyIntersects(m_granted, keys)
-        || anyIntersects(m_previouslyGranted, keys);
+    return anyIntersects(m_reported, keys) || anyIntersects(m_granted, keys) || anyIntersects(m_previouslyGranted, keys)
+        || isUnconfirmed(keys, now);
 }
 
 /// Whether keys that a report has listed as released are not held any more. A range that was granted again is held once
 /// per token, and the end of the requests with a lower token is reported as a release of that token alone.
-bool hold_manager::isReleased(key_range keys) const
+bool hold_manager::isReleased(key_range keys, time_point now) const
 {
-    return !anyIntersects(m_granted, keys) && !anyIntersects(m_reported, keys);
+    return !anyIntersects(m_granted, keys) && !anyIntersects(m_reported, keys) && !isUnconfirmed(keys, now);
 }
 
 release_basis hold_manager::releaseBasis(const owned_range& range, time_point now) const
@@ -202,10 +250,10 @@
     if (m_reportCount < minReportsForRelease)
         return release_basis::none;
     const bool isReported = std::ranges::any_of(m_released,
-        [&](const auto& released) { return released.keys.intersects(range.keys) && isReleased(released.keys); });
+        [&](const auto& released) { return released.keys.intersects(range.keys) && isReleased(released.keys, now); });
     if (isReported)
         return release_basis::reported;
-    return isHeld(range.keys) ? release_basis::none : release_basis::not_reported;
+    return isHeld(range.keys, now) ? release_basis::none : release_basis::not_reported;
 }
 
 range_map hold_manager::releaseUnheld(const range_map& map, time_point now) const
@@ -219,7 +267,7 @@
             continue;
         // The last release of a key has the state of its last holder, so it goes first.
         for (const auto& released : m_released | std::views::reverse) {
-            if (released.keys.intersects(range.keys) && isReleased(released.keys))
+            if (released.keys.intersects(range.keys) && isReleased(released.keys, now))
                 edit.release(m_life, intersection(released.keys, range.keys), released.handover);
         }
     }
