Clear no suspect by an isolated run that fails

What callers could see (heatherdriftd): a request that crashes backend servers, and fails with 500 in between, is never refused; each pair of runs costs one more crash.

Cause: an isolated run that the backend server answered cleared the suspect, whatever the status. After a crash (weight 0.6), a run that ended with 500 erased it, so that the next crash was the first one again, without end.

Evidence: by test through a whole request path: after 500 and 504, two copies of the suspect ran at once, as of a request that is no suspect.

Fix: the executor reports an answer of 500 and above as answered_with_failure. It counts for service times as before, and leaves the suspicion of the request as it is: the next run is isolated again, and a crash in it leads to refusal. An answer below 500 clears, as before. Consequence: a request that always fails and was at work in a crash runs one at a time until its suspicion has decayed (41 minutes from the weight of a crash alone, computed from the settings).

Tests: RequestPathTest.SuspectThatFailedIsNotCleared failed before, for 500 and 504, and passed for 200 and 404. New beside it, with the new value, so without a run before: BackendAdmission.IsolatedRunThatFailsDoesNotClear (refused after the second crash) and BackendAdmission.ServiceTimeIsLearnedFromFailedAnswersToo. All 48 tests of heatherdrift_routing_test and 116 of heatherdrift_admission_test pass.

--- a/src/admission/backend_admission.h
+++ b/src/admission/backend_admission.h
@@ -27,6 +27,7 @@
 /// How a running call ended.
 enum class admission_end {
     answered,
+    answered_with_failure, ///< With a status of 500 or above, which clears no suspect.
     shed, ///< The backend server refused it because of its load.
     cancelled, ///< By the caller or at the deadline.
     failed, ///< No response, for example because of a crash.
@@ -95,7 +96,7 @@
     void startSuspects(admission_actions&, time_point now);
     void expireSuspects(admission_actions&, time_point now);
     void recordActions(const admission_actions&, time_point now);
-    void release(std::uint64_t id, bool answered, time_point now);
+    void release(std::uint64_t id, std::optional<admission_end>, time_point now);
     void observe(call_state&, admission_end, time_point now);
     void observeClass(call_state&, duration used, time_point now);
     admission_actions applyPendingChanges(admission_actions, time_point now);
--- a/src/admission/internal/backend_admission.cpp
+++ b/src/admission/internal/backend_admission.cpp
@@ -68,7 +68,7 @@
         return {};
     observe(found->second, end, now);
     auto actions = m_queue.finish(id, now);
-    release(id, end == admission_end::answered, now);
+    release(id, end, now);
     recordActions(actions, now);
     return applyPendingChanges(std::move(actions), now);
 }
@@ -79,7 +79,7 @@
         return true;
     if (!m_queue.cancel(id))
         return false;
-    release(id, false, now);
+    release(id, std::nullopt, now);
     return true;
 }
 
@@ -192,7 +192,7 @@
 {
     for (const auto& action : actions) {
         if (action.step != admission_step::run) {
-            release(action.id, false, now);
+            release(action.id, std::nullopt, now);
             continue;
         }
         auto& call = m_calls.at(action.id);
@@ -201,13 +201,13 @@
     }
 }
 
-void backend_admission::release(std::uint64_t id, bool answered, time_point now)
+void backend_admission::release(std::uint64_t id, std::optional<admission_end> end, time_point now)
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
         return;
     if (found->second.isIsolated)
-        m_quarantine.finishIsolatedRun(found->second.fingerprint, answered, now);
+        m_quarantine.finishIsolatedRun(found->second.fingerprint, end == admission_end::answered, now);
     m_calls.erase(found);
 }
 
@@ -218,7 +218,7 @@
         m_limit.observeShed(now);
     if (end == admission_end::cancelled)
         m_estimate.observeCancelled(call.kind, call.length, used, now);
-    if (end != admission_end::answered)
+    if (end != admission_end::answered && end != admission_end::answered_with_failure)
         return;
     m_estimate.observe(call.kind, call.length, used, now);
     observeClass(call, used, now);
--- a/src/admission/internal/quarantine.cpp
+++ b/src/admission/internal/quarantine.cpp
@@ -33,12 +33,12 @@
     return notRun(error_code::quarantined, "requests with this content crashed backend servers");
 }
 
-void quarantine::finishIsolatedRun(request_fingerprint fingerprint, bool answered, time_point now)
+void quarantine::finishIsolatedRun(request_fingerprint fingerprint, bool hasSucceeded, time_point now)
 {
     if (m_isolated.erase(fingerprint) == 0)
         return;
     // The ids of its attributions are kept, so that a late duplicate does not restore the suspicion.
-    if (answered && !isRefused(fingerprint, now))
+    if (hasSucceeded && !isRefused(fingerprint, now))
         m_records.erase(fingerprint);
 }
 
--- a/src/admission/quarantine.h
+++ b/src/admission/quarantine.h
@@ -54,8 +54,9 @@
     quarantine_decision decide(request_fingerprint, time_point now);
     /// The `quarantined` error to return to the caller on `refuse`.
     failure refusal() const;
-    /// A request that ran isolated ended. If the backend server answered, the request is cleared.
-    void finishIsolatedRun(request_fingerprint, bool answered, time_point now);
+    /// A request that ran isolated ended. It is cleared if the backend server ran it to a good end: one that fails now
+    /// may crash backend servers at another time.
+    void finishIsolatedRun(request_fingerprint, bool hasSucceeded, time_point now);
     /// Time from which the next suspect may start even if the current one is still running.
     time_point nextIsolationAt() const;
 
--- a/src/admission/tests/backend_admission_test.cpp
+++ b/src/admission/tests/backend_admission_test.cpp
@@ -109,6 +109,38 @@
         EXPECT_EQ(refusalOf(admission.submit(call(10, poison), start), 10), error_code::quarantined);
     }
 
+    // Guards against one more crash after each isolated run that ends with a status of 500 or above and counts as
+    // harmless: the same request then crashes the next backend server.
+    TEST(BackendAdmission, IsolatedRunThatFailsDoesNotClear)
+    {
+        for (const auto end : { admission_end::answered, admission_end::answered_with_failure }) {
+            backend_admission admission(settings(4));
+            admission.submit(call(1, 7), start);
+            admission.crashed("crash 1", start);
+            admission.finish(1, admission_end::failed, start);
+            EXPECT_TRUE(runs(admission.submit(call(2, 7), start), 2));
+            admission.finish(2, end, start + 100ms);
+            EXPECT_TRUE(runs(admission.submit(call(3, 7), start + 200ms), 3));
+            admission.crashed("crash 2", start + 300ms);
+            admission.finish(3, admission_end::failed, start + 300ms);
+            const auto refusal = refusalOf(admission.submit(call(4, 7), start + 400ms), 4);
+            EXPECT_EQ(refusal == error_code::quarantined, end == admission_end::answered_with_failure);
+        }
+    }
+
+    // Guards against a service time that is learned from good answers only: a failed answer has used its slot as well.
+    TEST(BackendAdmission, ServiceTimeIsLearnedFromFailedAnswersToo)
+    {
+        backend_admission admission(settings(1));
+        for (std::uint64_t id = 1; id <= 100; ++id) {
+            const auto now = start + id * 30ms;
+            admission.submit(call(id), now);
+            admission.finish(id, admission_end::answered_with_failure, now + 30ms);
+        }
+        const auto now = start + 4s;
+        EXPECT_EQ(refusalOf(admission.submit(call(201, 0, now + 20ms), now), 201), error_code::deadline_exceeded);
+    }
+
     // Guards against a suspect that waits although the one before it was cleared, or waits past its deadline.
     TEST(BackendAdmission, WaitingSuspectsStartInTurnOrExpire)
     {
--- a/src/routing/internal/executed_call.cpp
+++ b/src/routing/internal/executed_call.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+    constexpr int minFailureStatus = 500;
+
     /// Response head for the caller, made from the backend server's.
     http_response_head answeredHead(const http_response_head& source, const call& of, const instance_ref& self)
     {
@@ -28,10 +30,10 @@
         return head.status >= 400 && head.headers.find(header::verdict) == toString(verdict::not_run);
     }
 
-    admission_end admissionEndOf(const result<void>& how)
+    admission_end admissionEndOf(const result<void>& how, bool hasFailureStatus)
     {
         if (how.has_value())
-            return admission_end::answered;
+            return hasFailureStatus ? admission_end::answered_with_failure : admission_end::answered;
         switch (how.error().code) {
         case error_code::refused_by_backend:
             return admission_end::shed;
@@ -269,6 +271,7 @@
         m_refusal = notRun(error_code::refused_by_backend, "the backend server did not run the request");
         return;
     }
+    m_hasFailureStatus = head.status >= minFailureStatus;
     const auto answered = answeredHead(head, m_call, m_executor->m_settings.self);
     if (m_token)
         m_replay.head = answered;
@@ -384,7 +387,7 @@
     const auto handlers = std::exchange(m_handlers, {});
     if (heldSlot)
         m_executor->m_load.add(m_partition, m_call.key, now() - m_startedAt);
-    m_executor->onCallEnded(*this, heldSlot ? std::optional(admissionEndOf(how)) : std::nullopt);
+    m_executor->onCallEnded(*this, heldSlot ? std::optional(admissionEndOf(how, m_hasFailureStatus)) : std::nullopt);
     if (handlers.onDone)
         handlers.onDone(how);
 }
--- a/src/routing/internal/executed_call.h
+++ b/src/routing/internal/executed_call.h
@@ -66,6 +66,7 @@
     std::optional<partition_id> m_partition;
     http_call_ptr m_upstream;
     std::optional<failure> m_refusal;
+    bool m_hasFailureStatus = false; ///< The backend server answered with a status of 500 or above.
     http_response m_replay; ///< Response returned to resends of a once call.
     time_point m_startedAt;
     timer m_begin;
--- a/src/routing/tests/request_path_test.cpp
+++ b/src/routing/tests/request_path_test.cpp
@@ -357,6 +357,32 @@
         EXPECT_EQ(verdictOf(answer), "ran");
     }
 
+    // Guards against a suspect that crashes backend servers without end, because it fails with 500 in the isolated runs
+    // between the crashes and counts as cleared by that.
+    TEST_F(RequestPathTest, SuspectThatFailedIsNotCleared)
+    {
+        const request_content content { "p", "POST", "/x", "k", "", "" };
+        for (const int status : { 500, 504, 200, 404 }) {
+            auto& backend = backends["b"];
+            const auto crash = static_cast<std::uint64_t>(status);
+            nodes["b"].task->post(add_strikes { { { crash, fingerprintOf(content), 0.6, boot_clock::now() } } });
+            backend.answer = [status](const http_exchange_ptr& exchange) { exchange->respond({ { status, {} }, "" }); };
+            EXPECT_EQ(request("b", "lookup").head.status, status);
+            backend.answer = [&backend](http_exchange_ptr exchange) { backend.held.push_back(std::move(exchange)); };
+            const auto before = backend.requests;
+            const std::size_t sent[] = { send("b", "lookup"), send("b", "lookup") };
+            runUntil([&] { return backend.requests > before; });
+            runFor(shortTime);
+            EXPECT_EQ(backend.requests - before, status >= 500 ? 1 : 2) << status;
+            // Ends the suspicion, so that the next status begins without it.
+            backend.answer = nullptr;
+            for (const auto& exchange : std::exchange(backend.held, {}))
+                exchange->respond({});
+            for (const auto index : sent)
+                EXPECT_EQ(wait(index).head.status, 200) << status;
+        }
+    }
+
     TEST_F(RequestPathTest, CallWithoutOwnershipIsRetriedAtAnotherMember)
     {
         nodes["b"].task->post(backend_update { std::nullopt });
