Replace a range map that cannot be decoded

What callers could see: if the row of a service's range map cannot be decoded, no key of the service is served any more once the holds have ended, until someone removes the row by hand.

Cause: each write and check expected the version of the last known map, or that there is none, and got a conflict with the same row, which was logged and left out. The version of the row was not kept.

Ruled out that a row whose bytes are not text behaves differently: the table watch passes it on as an empty text.

Fix: the version of such a row is kept. A node that knows of such a row promises nothing meanwhile.

--- a/src/mesh/internal/ownership.cpp
+++ b/src/mesh/internal/ownership.cpp
@@ -316,6 +316,8 @@
     // set only when it is large.
     if (m_endedLives.size() > maxEndedLives)
         std::erase_if(m_endedLives, [&](const auto& ended) { return !m_map.names(ended); });
+    if (isMapUnreadable())
+        return replacementOfUnreadable(now);
     if (isMapOutdated())
         return firstMapOfEra(now);
     range_edit withoutEnded(m_map);
@@ -359,7 +361,7 @@
         return;
     m_isWriting = true;
     conditional_write change;
-    change.checks.push_back({ currentRow(), expectedVersion() });
+    change.checks.push_back({ currentRow(), isMapUnreadable() ? m_unreadableVersion : expectedVersion() });
     change.changes.push_back({ currentRow(), 0, next->toJson() });
     if (expectedVersion() == 0) {
         for (const auto& row : m_earlierRows)
@@ -403,7 +405,7 @@
             continue;
         const auto map = range_map::fromJson(*row.value);
         if (map.has_error()) {
-            logEvent(log_event::peer_message_rejected, { { "target", m_row.key }, { "reason", map.error().message } });
+            noteUnreadable(row.version, map.error());
             continue;
         }
         if (row.version >= m_version)
--- a/src/mesh/internal/ownership.h
+++ b/src/mesh/internal/ownership.h
@@ -125,13 +125,21 @@
     bool isMapOutdated() const { return m_version > 0 && eraOf(m_version) < m_era; }
     /// Whether keys that no map names may be held although no map is known.
     bool mayHaveLostMaps() const { return m_isRestored || !m_settings.isFirstStart; }
+    /// Whether the row of the map has a newer version that could not be decoded.
+    bool isMapUnreadable() const { return m_unreadableVersion > m_version; }
+    void noteUnreadable(row_version, const failure&);
+    std::optional<range_map> replacementOfUnreadable(time_point now);
     row_key currentRow() const;
     std::optional<store_era> eraOfRow(const row_key&) const;
     /// Version that the current row must have for a check or write; 0: it must not exist.
     row_version expectedVersion() const { return isMapOutdated() ? 0 : m_version; }
     fencing_token nextFence() const;
     range_map forHolds(const range_map&) const;
-    time_point firstMapDueAt() const;
+    /// When this node should write a map that does not follow from the one before it, if the reason for it has been
+    /// known since then.
+    time_point unprecedentedMapDueAt(time_point knownSince) const;
+    /// Asks the other owners for newer maps and waits for their answers; false once these are in.
+    bool isCollectingMaps(time_point now);
     /// Time at which all backend servers of a system that starts for the first time should be known. An earlier map
     /// leaves those out that are announced later, and balancing has to move keys to them under load.
     time_point firstMapOfSystemDueAt(std::size_t candidates, time_point now);
@@ -181,7 +189,9 @@
     store_era m_era = noEra; ///< Latest known era of the store.
     bool m_isRestored = false; ///< The store has come back from a copy since this process started.
     time_point m_eraNotedAt; ///< Start of this process, or the last restore that it has learned of.
-    /// Time until which newer maps of the earlier era are collected from the other owners; min(): not asked yet.
+    row_version m_unreadableVersion = 0; ///< Newest version of the current row that could not be decoded; 0: none.
+    time_point m_unreadableSince {};
+    /// Time until which newer maps are collected from the other owners; min(): not asked yet.
     time_point m_collectingUntil = time_point::min();
     time_point m_exclusiveReleaseDueAt = time_point::min();
     std::set<row_key> m_earlierRows; ///< Rows of earlier eras that exist in this one.
--- a/src/mesh/internal/ownership_confirmation.cpp
+++ b/src/mesh/internal/ownership_confirmation.cpp
@@ -130,7 +130,8 @@
     // of that era could take up again what it no longer holds, by a map that the store has lost the successors of.
     if (isMapOutdated())
         return question.era == m_era ? map_statement::promised : map_statement::unknown;
-    if (!isOwner || m_isWriting || m_unresolvedVersion == m_version || now < m_startedAt + lateWriteTime)
+    if (!isOwner || isMapUnreadable() || m_isWriting || m_unresolvedVersion == m_version
+        || now < m_startedAt + lateWriteTime)
         return map_statement::unknown;
     m_promisedUntil[question.holder] = now + std::chrono::duration_cast<duration>(promiseTime * leaseSafety);
     return map_statement::promised;
--- a/src/mesh/internal/ownership_era.cpp
+++ b/src/mesh/internal/ownership_era.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr char eraSeparator = '@';
-    /// Time to receive newer maps of the earlier era from the other owners before the first map of an era is written.
+    /// Time to receive newer maps from the other owners before a map is written that does not follow from the last one.
     constexpr auto collectTime = std::chrono::milliseconds(300);
 
 } // namespace
@@ -52,6 +52,7 @@
     m_isRestored = true;
     m_eraNotedAt = m_hooks.now();
     m_collectingUntil = time_point::min();
+    m_unreadableVersion = 0;
     m_earlierRows.clear();
     m_conflicts = 0;
     m_mayWriteAt = time_point::min();
@@ -81,6 +82,8 @@
     const auto map = range_map::fromJson(*row.value);
     if (map.has_value())
         adopt(map.value(), version, std::nullopt);
+    else if (!isEarlier)
+        noteUnreadable(version, map.error());
     else
         logEvent(log_event::peer_message_rejected, { { "target", m_row.key }, { "reason", map.error().message } });
 }
@@ -99,7 +102,7 @@
     return first != candidates.end() && first->node == m_settings.node;
 }
 
-time_point ownership::firstMapDueAt() const
+time_point ownership::unprecedentedMapDueAt(time_point knownSince) const
 {
     const auto candidates = m_hooks.candidates();
     const auto self = std::ranges::find(candidates, m_settings.node, &owner_candidate::node);
@@ -108,22 +111,25 @@
     const bool isOwner = m_map.hasOwner(m_holdManager.life());
     const auto rank = std::count_if(candidates.begin(), self,
         [&](const auto& candidate) { return !isOwner || m_map.hasOwner(candidate.range.life); });
-    const auto due = m_eraNotedAt + rank * coordinatorStep + (isOwner ? duration() : duration(nonOwnerTakeoverDelay));
+    const auto due = knownSince + rank * coordinatorStep + (isOwner ? duration() : duration(nonOwnerTakeoverDelay));
     return std::max<time_point>(due, m_startedAt + startupGracePeriod);
 }
 
-/// The store may have lost newer maps of the earlier era, so the first map of an era only names the owners anew: what
-/// they do not hold already is granted after all holds of the earlier era have ended.
-std::optional<range_map> ownership::firstMapOfEra(time_point now)
+bool ownership::isCollectingMaps(time_point now)
 {
-    if (now < firstMapDueAt())
-        return std::nullopt;
     if (m_collectingUntil == time_point::min()) {
         m_collectingUntil = now + collectTime;
         m_hooks.askOtherOwners();
-        return std::nullopt;
+        return true;
     }
-    if (now < m_collectingUntil)
+    return now < m_collectingUntil;
+}
+
+/// The store may have lost newer maps of the earlier era, so the first map of an era only names the owners anew: what
+/// they do not hold already is granted after all holds of the earlier era have ended.
+std::optional<range_map> ownership::firstMapOfEra(time_point now)
+{
+    if (now < unprecedentedMapDueAt(m_eraNotedAt) || isCollectingMaps(now))
         return std::nullopt;
     return m_holdManager.releaseExclusivelyHeld(
         m_map.withUnknownHolder(nextFence(), silenceAfter(leaseTime + maxExtension)));
--- a/src/mesh/tests/ownership_history.h
+++ b/src/mesh/tests/ownership_history.h
@@ -143,8 +143,11 @@
     void readTable(simulated_node& node)
     {
         node.store->noteEra(m_store.era());
-        for (const auto& entry : m_store.rows())
-            node.keys->onRowChanged(m_store.current(entry.first));
+        for (const auto& entry : m_store.rows()) {
+            auto row = m_store.current(entry.first);
+            node.store->onRow(row);
+            node.keys->onRowChanged(row);
+        }
         if (!std::exchange(node.isTableRead, true))
             node.keys->onTableRead(m_store.era());
     }
--- a/src/mesh/tests/simulated_store.h
+++ b/src/mesh/tests/simulated_store.h
@@ -114,7 +114,10 @@
             write.checks, [&](const auto& check) { return check.version > 0 && eraOf(check.version) < era; });
         if (isOfEarlierEra)
             return mayHaveRun(error_code::store_restored, "the store came back from an older copy");
-        return outcome;
+        auto received = outcome;
+        for (auto& row : received.current)
+            onRow(row);
+        return received;
     }
 
     /// Called with the era of each answer.
@@ -126,6 +129,8 @@
     }
 
     std::deque<pending_write> queue;
+    /// May change a row before the node receives it.
+    std::function<void(row_change&)> onRow = [](row_change&) {};
 
 private:
     store_era m_era = 0; ///< Of the newest answer; 0 before the first one.
