--- a/src/mesh/tests/two_owners_test.cpp
+++ b/src/mesh/tests/two_owners_test.cpp
@@ -1,4 +1,3 @@
-#include "mesh/internal/peer_watch.h"
 #include "mesh/tests/member_registry_fixture.h"
 #include "mesh/tests/simulated_store.h"
 #include "mesh/tests/test_port.h"
