--- a/src/mesh/tests/ownership_unreadable_test.cpp
+++ b/src/mesh/tests/ownership_unreadable_test.cpp
@@ -104,7 +104,8 @@
                 ASSERT_LT(steps, 1000) << "seed " << seed;
                 history.run(std::chrono::milliseconds(20));
             }
-            for (const auto& range : map().value().ranges()) {
+            const auto replaced = map().value();
+            for (const auto& range : replaced.ranges()) {
                 EXPECT_GT(range.fence, unreadable) << "seed " << seed;
                 EXPECT_FALSE(range.releasing.empty()) << "seed " << seed;
             }
--- a/src/ranges/internal/hold_manager.cpp
+++ b/src/ranges/internal/hold_manager.cpp
@@ -3,7 +3,6 @@
 #include "ranges/range_edit.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace heatherdrift {
 
@@ -290,9 +289,9 @@
         if (basis != release_basis::reported)
             continue;
         // The last release of a key has the state of its last holder, so it goes first.
-        for (const auto& released : m_released | std::views::reverse) {
-            if (released.keys.intersects(range.keys) && isReleased(released.keys, now))
-                edit.release(m_life, intersection(released.keys, range.keys), released.handover);
+        for (auto released = m_released.rbegin(); released != m_released.rend(); ++released) {
+            if (released->keys.intersects(range.keys) && isReleased(released->keys, now))
+                edit.release(m_life, intersection(released->keys, range.keys), released->handover);
         }
     }
     return edit.finish();
